--- /dev/null
+++ b/burlmast/__init__.py
@@ -0,0 +1,1 @@
+"""burlmast: decisions for playbacks on media servers with shared links."""
--- /dev/null
+++ b/burlmast/logic.py
@@ -0,0 +1,537 @@
+"""All decisions of a gateway, with no wire, clock or thread of their own.
+
+Call: `gateway = Gateway(terms, seed, now)`; `gateway.begin(now)` gives the first actions, then
+`gateway.take(now, event)` gives the actions that each event asks for, to be carried out in their order. `now` is
+whole nanoseconds and never goes back. Terms, events and actions are the plain types of `burlmast.api`.
+
+The design (docs/design.md) decides the ordinary path: `Gateway.tick` steps playbacks, `Gateway.place` sets them up.
+Beside it stand these mechanisms, six at most:
+1. Corrected notes: a late share is read against what this gateway has put on or taken off the link since.
+2. Setting aside: hosts that fail several times in a row get no set-ups until they have answered probes.
+3. Cold pace: a host that may have started lately gets a share of set-ups that is safe whatever others send.
+4. Further tries: a try that fails or stays out too long goes to the next holder, within terms and budget.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from collections.abc import Callable
+from math import isfinite
+from statistics import median
+
+from burlmast import api
+from burlmast.api import Ending, News, Repeat, Scope, Standing
+
+SECOND = 1_000_000_000
+TICK = SECOND  # the design's tick, open; 2 s to start
+WINDOW = 20  # room samples that a rise looks back on
+QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
+SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
+STRIKES = 2  # failures in a row that set a host aside
+PROOFS = 2  # probes it has to answer before it comes back
+TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
+
+NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
+STRIKING = frozenset((Ending.ERROR, Ending.TIMEOUT, Ending.NO_CONNECTION, Ending.BROKEN))
+FALLING = frozenset((Ending.TIMEOUT, Ending.NO_CONNECTION, Ending.BROKEN))  # it may come back as a new process
+
+
+class Pipe:
+    """A link or an uplink: its told size, what it was last said to carry, and this gateway's part in that."""
+
+    def __init__(self, size: float) -> None:
+        self.size = size
+        self.own = 0.0
+        self.changes: deque[tuple[int, float]] = deque(maxlen=64)
+        self.asked: tuple[int, float] | None = None  # since when it holds, over the size
+
+    def add(self, now: int, rate: float) -> None:
+        self.own += rate
+        self.changes.append((now, rate))
+
+    def since(self, then: int) -> float:
+        return sum(rate for at, rate in self.changes if at >= then)
+
+    def told(self, now: int) -> bool:
+        return self.asked is not None and now - self.asked[0] < QUIET
+
+    def used(self, now: int) -> float:
+        if self.asked is None or not self.told(now):
+            return self.own
+        return max(self.own, self.asked[1] * self.size + self.since(self.asked[0]))
+
+
+class Rack:
+    """Hosts behind one uplink."""
+
+    def __init__(self, size: float) -> None:
+        self.uplink = Pipe(size)
+        self.hosts: list[Host] = []
+
+    def free(self, now: int) -> float:
+        if self.uplink.told(now):
+            return self.uplink.size - self.uplink.used(now)
+        return self.uplink.size - sum(host.link.used(now) for host in self.hosts)
+
+
+class Host:
+    """A media host as this gateway knows it."""
+
+    def __init__(self, row: api.HostRow, rack: Rack) -> None:
+        self.id, self.row, self.rack = row.host, row, rack
+        self.link = Pipe(0.0)
+        self.state = "trusted"
+        self.risen = 0  # the latest moment at which it may have started, as far as is known
+        self.fell = False  # it failed in a way that a restart explains, and has not served since
+        self.strikes = self.proofs = 0
+        self.probing = False
+        self.streams = 0.0
+        self.share: tuple[int, float] | None = None  # when the note came, the share
+        self.stepped = -QUIET
+        self.sent: deque[int] = deque(maxlen=256)
+        self.playbacks: dict[int, Playback] = {}
+
+
+class Playback:
+    """A request and, later, what plays of it."""
+
+    def __init__(self, now: int, request: api.Request, plan: api.Plan, ladder: api.Ladder) -> None:
+        self.id, self.request, self.plan = request.pb, request, plan
+        self.state = "held"
+        self.arrived, self.abandon = now, now + request.patience
+        top = int(request.top) if isfinite(request.top) else plan.floor
+        self.top = max(plan.floor, min(top, plan.top, len(ladder.rates) - 1))
+        self.rung = plan.floor
+        self.host: Host | None = None
+        self.tries: list[Host] = []
+        self.maybe_ran: list[tuple[int, Host]] = []  # tries that may have run: when sent, where
+        self.sent_at = 0
+        self.rooms: deque[float] = deque(maxlen=WINDOW)
+        self.ladder = ladder
+
+    def rate(self, rung: int) -> float:
+        return self.ladder.rates[rung] * self.plan.scale
+
+    def gain(self, rung: int) -> float:
+        """Revenue a kB of the step from the rung below."""
+        earns = self.ladder.earns
+        return self.plan.revenue * (earns[rung] - earns[rung - 1]) / (self.rate(rung) - self.rate(rung - 1))
+
+
+class Gateway:
+    """One gateway's decisions."""
+
+    def __init__(self, terms: api.Terms, seed: int, now: int) -> None:
+        self.terms, self.seed, self.draws = terms, seed, 0
+        self.hosts: dict[int, Host] = {}
+        self.racks = [Rack(terms.lineup.uplink) for _ in range(max(1, terms.lineup.racks))]
+        self.playbacks: dict[int, Playback] = {}
+        self.seats: dict[tuple[int, int], int] = {}
+        self.took: deque[int] = deque(maxlen=WINDOW)
+        self.requests: deque[int] = deque()
+        self.further: deque[int] = deque()
+        self.out: list[api.Action] = []
+
+    def chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+
+    def begin(self, now: int) -> list[api.Action]:
+        first = TICK // 2 + int(TICK * self.chance() / 2)  # gateways that start together do not step together
+        asking = [api.KeepInformed()] if self.terms.allowed.must_ask else []
+        return [api.SetAlarm(first, TICK_TOKEN), *asking]
+
+    def take(self, now: int, event: api.Event) -> list[api.Action]:
+        self.out = []
+        reader = EVENTS.get(type(event))
+        if reader:
+            reader(self, now, event)
+        return self.out
+
+    def step(self, now: int, thing: Playback | Host, happening: str | None) -> None:
+        """Read the table until nothing more follows."""
+        while happening:
+            thing.state, effect = TABLE.get((thing.state, happening), (thing.state, None))
+            happening = effect(self, now, thing) if effect else None
+
+    # Events.
+
+    def listed(self, now: int, event: api.Listed) -> None:
+        if event.scope is Scope.FAILED:
+            wait = self.terms.allowed.ask_within // 4
+            self.out.append(api.SetAlarm(wait // 2 + int(wait * self.chance() / 2), ASK_TOKEN))
+            return
+        named = {row.host for row in event.rows}
+        for row in event.rows:
+            host = self.hosts.get(row.host)
+            if host is None:
+                host = self.hosts[row.host] = Host(row, self.racks[row.cell % len(self.racks)])
+                # A gateway that starts knows only its last list, and a host may have restarted since.
+                host.risen = now if event.scope is Scope.CACHED else row.started
+                host.rack.hosts.append(host)
+            elif row.started > host.row.started:
+                host.risen = max(host.risen, row.started)
+                host.state, host.fell, host.strikes, host.link.asked, host.share = "trusted", False, 0, None, None
+            host.row = row
+        if event.scope is not Scope.CHANGES:
+            for host in self.hosts.values():
+                if host.id not in named:
+                    host.row = host.row._replace(standing=Standing.GONE)
+        lineup = self.terms.lineup
+        ready = [host for host in self.hosts.values() if host.row.standing is Standing.READY]
+        mean = sum(self.streams(host) for host in ready) / max(1, len(ready))
+        for host in self.hosts.values():
+            weight = host.row.weight if lineup.weights_tell_size else self.streams(host) / (mean or 1.0)
+            host.link.size = lineup.link_per_weight * weight
+
+    def streams(self, host: Host) -> int:
+        kinds = self.terms.lineup.streams_by_kind
+        return kinds[host.row.kind] if host.row.kind < len(kinds) else 1
+
+    def arrived(self, now: int, event: api.Arrived) -> None:
+        request = event.request
+        if request.pb in self.playbacks or request.plan >= len(self.terms.plans):
+            return
+        pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
+        self.playbacks[pb.id] = pb
+        self.requests.append(now)
+        self.out.append(api.SetAlarm(max(0, request.patience - 3 * self.terms.beat), PB_TOKEN + pb.id))
+        self.step(now, pb, "arrive")
+
+    def handed_over(self, now: int, event: api.HandedOver) -> None:
+        host, request = self.hosts.get(event.host), event.request
+        if host is None or request.pb in self.playbacks or request.plan >= len(self.terms.plans):
+            return
+        pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
+        self.playbacks[pb.id] = pb
+        pb.state = "playing"
+        pb.tries.append(host)
+        self.settle(now, pb, host)
+
+    def flowing(self, now: int, event: api.Flowing) -> None:
+        pb = self.playbacks.get(event.pb)
+        if pb and pb.host and pb.state == "trying" and event.attempt == len(pb.tries) - 1:
+            self.took.append(event.took)
+            self.step(now, pb, "flowing")
+            self.step(now, pb.host, "good") if pb.host else None
+
+    def ended(self, now: int, event: api.Ended) -> None:
+        pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
+        if host:
+            self.loaded(now, host, event.load)
+        if pb is None or host is None or pb.host is not host or event.attempt != len(pb.tries) - 1:
+            return
+        if event.ending is Ending.FULL:
+            host.link.asked = (now, max(1.0, host.link.asked[1] if host.link.asked else 1.0))
+        if event.ending not in NEVER_RAN:
+            pb.maybe_ran.append((pb.sent_at, host))
+        self.unsettle(now, pb)
+        self.step(now, pb, "over" if event.final else "failed")
+        if event.ending in FALLING:
+            host.fell = True
+        if event.ending in STRIKING:
+            self.step(now, host, "bad")
+
+    def noted(self, now: int, event: api.Note) -> None:
+        pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
+        if pb is None or host is None or pb.host is not host or not isfinite(event.value) or event.value < 0:
+            return
+        lag = self.terms.lineup.note_lag if pb.state == "playing" else 0
+        if event.news is News.SHARE:
+            host.share = (now, event.value) if event.value < SHORT else None
+            host.stepped = max(host.stepped, now)
+        elif event.news is News.LINK:
+            host.link.asked = (now - lag, event.value)
+        elif event.news is News.UPLINK:
+            host.rack.uplink.asked = (now - lag, event.value)
+        elif pb.plan.floor <= event.value <= pb.top:
+            self.account(now, pb, int(event.value))
+
+    def left(self, now: int, event: api.ViewerLeft) -> None:
+        pb = self.playbacks.get(event.pb)
+        if pb:
+            self.step(now, pb, "left")
+
+    def rung_bell(self, now: int, event: api.Bell) -> None:
+        if event.token == TICK_TOKEN:
+            self.tick(now)
+        elif event.token == ASK_TOKEN:
+            self.out.append(api.KeepInformed())
+        elif event.token - PB_TOKEN in self.playbacks:
+            pb = self.playbacks[event.token - PB_TOKEN]
+            if now >= pb.abandon - 4 * self.terms.beat:
+                self.step(now, pb, "abandon")
+
+    def probed(self, now: int, event: api.Probed) -> None:
+        host = self.hosts.get(event.host)
+        if host is None:
+            return
+        host.probing = False
+        self.loaded(now, host, event.load)
+        self.step(now, host, "proof" if event.ending is Ending.SERVED else "no proof")
+
+    def loaded(self, now: int, host: Host, load: api.Load) -> None:
+        def sound(value: float | None) -> bool:
+            return value is not None and isfinite(value) and value >= 0
+
+        if sound(load.streams):
+            host.streams = load.streams or 0.0
+        if sound(load.link):
+            host.link.asked = (now, load.link or 0.0)
+        if sound(load.uplink):
+            host.rack.uplink.asked = (now, load.uplink or 0.0)
+
+    # The account.
+
+    def settle(self, now: int, pb: Playback, host: Host) -> None:
+        pb.host = host
+        host.playbacks[pb.id] = pb
+        seat = (pb.request.title, pb.request.plan)
+        self.seats[seat] = self.seats.get(seat, 0) + 1
+        host.link.add(now, pb.rate(pb.rung))
+        host.rack.uplink.add(now, pb.rate(pb.rung))
+
+    def unsettle(self, now: int, pb: Playback) -> None:
+        host, pb.host = pb.host, None
+        if host:
+            del host.playbacks[pb.id]
+            seat = (pb.request.title, pb.request.plan)
+            self.seats[seat] -= 1
+            if not self.seats[seat]:
+                del self.seats[seat]
+            host.link.add(now, -pb.rate(pb.rung))
+            host.rack.uplink.add(now, -pb.rate(pb.rung))
+
+    def account(self, now: int, pb: Playback, rung: int) -> None:
+        if pb.host:
+            pb.host.link.add(now, pb.rate(rung) - pb.rate(pb.rung))
+            pb.host.rack.uplink.add(now, pb.rate(rung) - pb.rate(pb.rung))
+        pb.rung = rung
+
+    def room(self, now: int, host: Host) -> float:
+        size = host.link.size
+        if now - host.risen < self.terms.rules.warm_after:
+            cold = self.terms.rules.cold_share
+            size *= cold + (1 - cold) * (now - host.risen) / self.terms.rules.warm_after
+        return min(size - host.link.used(now), host.rack.free(now))
+
+    # Setting up.
+
+    def pace_allows(self, now: int, host: Host) -> bool:
+        """Mechanism 3."""
+        rules = self.terms.rules
+        if not host.fell and now - host.risen >= rules.warm_after:
+            return True
+        span = rules.fall_span + rules.fall_span // 10  # sends may bunch up on the way
+        budget = rules.fall_multiple * rules.cold_share * self.streams(host) * rules.fall_span / rules.warm_after
+        lately = sum(1 for at in host.sent if now - at < span)
+        share = int(budget / self.terms.gateways)
+        if share >= 1:
+            return lately < share
+        # Less than one each: gateways take turns, so that any window sees two gateways at most.
+        turn = (now // span + host.id) % self.terms.gateways == self.terms.number
+        return turn and lately < int(budget / 2)
+
+    def may_send(self, now: int, pb: Playback, host: Host) -> bool:
+        request, plan, rules = pb.request, pb.plan, self.terms.rules
+        if host.row.standing is not Standing.READY:
+            return False
+        if (host.row.cell - request.home) % max(1, self.terms.lineup.cells) >= request.copies:
+            return False
+        for sent_at, earlier in pb.maybe_ran:
+            same = {"zone": host.row.zone == earlier.row.zone, "cell": host.row.cell == earlier.row.cell}
+            if plan.repeat is Repeat.NEVER:
+                return False
+            if plan.repeat is Repeat.WITHIN_GROUP and not (
+                same.get(plan.repeat_group, True) and now - sent_at < plan.repeat_span - 2 * self.terms.beat
+            ):
+                return False
+        if pb.tries and rules.further_free is not None:
+            for log in (self.requests, self.further):
+                while log and now - log[0] >= rules.further_span:
+                    log.popleft()
+            if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
+                return False
+        taken = self.seats.get((request.title, request.plan), 0)
+        return len(pb.tries) < self.terms.allowed.tries and not (plan.seats and taken >= plan.seats)
+
+    def place(self, now: int, pb: Playback) -> str:
+        """The design's placement: most room by the own account, ties by the shared hash."""
+        best, best_rank, paced = None, None, False
+        for host in self.hosts.values():
+            if not self.may_send(now, pb, host):
+                continue
+            if not self.pace_allows(now, host):
+                paced = True
+                continue
+            room = self.room(now, host)
+            tie = zlib.crc32(f"{pb.request.title}:{host.id}".encode())
+            full = host.streams >= self.streams(host)
+            rank = (host not in pb.tries, host.state == "trusted", not full, room, tie)
+            if best_rank is None or rank > best_rank:
+                best, best_rank = host, rank
+        if best is None or best_rank is None:
+            return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "none"
+        room = best_rank[3]
+        rung = pb.plan.floor
+        while rung < pb.top and pb.rate(rung + 1) <= room:
+            rung += 1
+        if rung != pb.rung or pb.tries:
+            self.out.append(api.SetRung(pb.id, rung))
+        elif rung != pb.plan.floor:
+            self.out.append(api.SetRung(pb.id, rung))
+        pb.rung = rung
+        self.settle(now, pb, best)
+        if pb.tries:
+            self.further.append(now)
+        pb.tries.append(best)
+        pb.sent_at = now
+        best.sent.append(now)
+        self.out.append(api.SetUp(pb.id, best.id, self.allowance(now, pb)))
+        return "sent"
+
+    def allowance(self, now: int, pb: Playback) -> int:
+        left = max(1, pb.abandon - now - self.terms.beat)
+        if pb.plan.repeat is not Repeat.FREELY or len(pb.tries) >= self.terms.allowed.tries:
+            return left
+        usual = 4 * int(median(self.took)) if self.took else 0
+        return min(left, max(usual, pb.plan.startup_target // 2))
+
+    def answer(self, now: int, pb: Playback) -> None:
+        """The final answer to a request that is given up: a rejection wherever the terms allow one."""
+        tried = bool(pb.maybe_ran) or pb.host is not None
+        if tried and pb.plan.repeat is not Repeat.FREELY and (
+            pb.plan.repeat is Repeat.NEVER or pb.plan.repeat_group != "all" or pb.host is not None
+        ):
+            self.out.append(api.Abort(pb.id))
+        else:
+            self.out.append(api.Reject(pb.id, self.terms.allowed.longest_advice if self.terms.allowed.advice else 0))
+        self.drop(now, pb)
+
+    def give_up(self, now: int, pb: Playback) -> None:
+        if self.terms.allowed.call_off:
+            self.out.append(api.CallOff(pb.id, len(pb.tries) - 1))
+        self.answer(now, pb)
+
+    def drop(self, now: int, pb: Playback) -> None:
+        if pb.host is None:
+            self.playbacks.pop(pb.id, None)
+
+    # Judging hosts.
+
+    def strike(self, now: int, host: Host) -> str | None:
+        host.strikes += 1
+        return "struck out" if host.strikes >= STRIKES else None
+
+    def set_aside(self, now: int, host: Host) -> None:
+        host.proofs = 0
+
+    def clear(self, now: int, host: Host) -> None:
+        host.strikes = 0
+        if host.fell:  # it may be a new process: nothing says since when
+            host.fell, host.risen = False, now
+
+    def prove(self, now: int, host: Host) -> str | None:
+        host.proofs += 1
+        return "proven" if host.proofs >= PROOFS else None
+
+    def disprove(self, now: int, host: Host) -> None:
+        host.proofs = 0
+
+    # Stepping what plays.
+
+    def tick(self, now: int) -> None:
+        self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
+        for pb in [pb for pb in self.playbacks.values() if pb.state == "held"]:
+            self.step(now, pb, "again")
+        for host in self.hosts.values():
+            if host.state == "aside" and not self.terms.allowed.probes:
+                self.step(now, host, "proof")
+            elif self.terms.allowed.probes and not host.probing and host.row.standing is Standing.READY and (
+                host.state == "aside" or (not self.terms.lineup.reports and self.chance() < TICK / QUIET * 2)
+            ):
+                host.probing = True
+                self.out.append(api.Probe(host.id))
+            playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
+            if not playing:
+                continue
+            if host.share and now - host.share[0] > 3 * SECOND:
+                host.share = None
+            room = self.room(now, host)
+            short = host.share is not None
+            share = self.share(now, host)
+            for pb in playing:
+                pb.rooms.append(share * pb.rate(pb.rung) if short else pb.rate(pb.rung) + max(0.0, room))
+            if short:
+                # Danger: a link short by a tenth whose playbacks all drop is left half empty.
+                for pb in sorted(playing, key=lambda pb: pb.gain(pb.rung) if pb.rung else 0.0):
+                    if pb.rung > pb.plan.floor and self.share(now, host) < SHORT:
+                        self.put(now, pb, pb.rung - 1)
+                        host.stepped = now
+            elif now - host.stepped >= QUIET:
+                self.rise(now, playing)
+
+    def share(self, now: int, host: Host) -> float:
+        """Mechanism 1: the noted share, as it would be after what this gateway has changed since it was true."""
+        if host.share is None:
+            return 1.0
+        then = host.link.own - host.link.since(host.share[0] - self.terms.lineup.note_lag)
+        return min(1.0, host.share[1] * max(then, 0.0) / host.link.own) if host.link.own > 0 else 1.0
+
+    def rise(self, now: int, playing: list[Playback]) -> None:
+        able = []
+        for pb in playing:
+            if pb.rung < pb.top and min(pb.rooms) > 0:
+                mean = len(pb.rooms) / sum(1 / room for room in pb.rooms)
+                if mean > pb.rate(pb.rung + 1):
+                    able.append(pb)
+        if able:
+            pb = max(able, key=lambda pb: pb.gain(pb.rung + 1))
+            self.put(now, pb, pb.rung + 1)
+
+    def put(self, now: int, pb: Playback, rung: int) -> None:
+        self.account(now, pb, rung)
+        self.out.append(api.SetRung(pb.id, rung))
+
+
+EVENTS: dict[type, Callable[[Gateway, int, api.Event], None]] = {
+    api.Listed: Gateway.listed,
+    api.Arrived: Gateway.arrived,
+    api.HandedOver: Gateway.handed_over,
+    api.Flowing: Gateway.flowing,
+    api.Ended: Gateway.ended,
+    api.Note: Gateway.noted,
+    api.ViewerLeft: Gateway.left,
+    api.Bell: Gateway.rung_bell,
+    api.Probed: Gateway.probed,
+}
+
+# State and input give the next state and an effect; what the effect returns is the next input.
+TABLE: dict[tuple[str, str], tuple[str, Callable | None]] = {
+    ("held", "arrive"): ("held", Gateway.place),
+    ("held", "again"): ("held", Gateway.place),
+    ("held", "sent"): ("trying", None),
+    ("held", "wait"): ("held", None),
+    ("held", "none"): ("over", Gateway.answer),
+    ("held", "abandon"): ("over", Gateway.answer),
+    ("held", "left"): ("over", Gateway.drop),
+    ("trying", "flowing"): ("playing", None),
+    ("trying", "failed"): ("held", Gateway.place),
+    ("trying", "over"): ("over", Gateway.drop),
+    ("trying", "abandon"): ("over", Gateway.give_up),
+    ("trying", "left"): ("over", Gateway.drop),
+    ("playing", "failed"): ("over", Gateway.drop),
+    ("playing", "over"): ("over", Gateway.drop),
+    ("playing", "left"): ("over", Gateway.drop),
+    ("over", "failed"): ("over", Gateway.drop),
+    ("over", "over"): ("over", Gateway.drop),
+    ("trusted", "good"): ("trusted", Gateway.clear),
+    ("trusted", "bad"): ("trusted", Gateway.strike),
+    ("trusted", "struck out"): ("aside", Gateway.set_aside),
+    ("aside", "good"): ("trusted", Gateway.clear),
+    ("aside", "proof"): ("aside", Gateway.prove),
+    ("aside", "no proof"): ("aside", Gateway.disprove),
+    ("aside", "bad"): ("aside", Gateway.disprove),
+    ("aside", "proven"): ("trusted", Gateway.clear),
+}
