First rung fits a gateway's share of the room

Cause: three gateways read the same free room and all spend it. Change: the first rung (open in the design) is the highest that fits the room over the number of gateways.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -375,7 +375,7 @@
             return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "none"
         room = best_rank[3]
         rung = pb.plan.floor
-        while rung < pb.top and pb.rate(rung + 1) <= room:
+        while rung < pb.top and pb.rate(rung + 1) <= room / self.terms.gateways:
             rung += 1
         if rung != pb.rung or pb.tries:
             self.out.append(api.SetRung(pb.id, rung))
