Count own changes since a report once for each gateway

Cause: a report is up to seconds old and all gateways act on it alike, so the roomiest host was the roomiest for all of them. Change: what this gateway added or took since the report counts once for each gateway.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -40,8 +40,8 @@
 class Pipe:
     """A link or an uplink: its told size, what it was last said to carry, and this gateway's part in that."""
 
-    def __init__(self, size: float) -> None:
-        self.size = size
+    def __init__(self, size: float, gateways: int) -> None:
+        self.size, self.gateways = size, gateways
         self.own = 0.0
         self.changes: deque[tuple[int, float]] = deque(maxlen=64)
         self.asked: tuple[int, float] | None = None  # since when it holds, over the size
@@ -59,14 +59,14 @@
     def used(self, now: int) -> float:
         if self.asked is None or not self.told(now):
             return self.own
-        return max(self.own, self.asked[1] * self.size + self.since(self.asked[0]))
+        return max(self.own, self.asked[1] * self.size + self.gateways * self.since(self.asked[0]))
 
 
 class Rack:
     """Hosts behind one uplink."""
 
-    def __init__(self, size: float) -> None:
-        self.uplink = Pipe(size)
+    def __init__(self, size: float, gateways: int) -> None:
+        self.uplink = Pipe(size, gateways)
         self.hosts: list[Host] = []
 
     def free(self, now: int) -> float:
@@ -80,7 +80,7 @@
 
     def __init__(self, row: api.HostRow, rack: Rack) -> None:
         self.id, self.row, self.rack = row.host, row, rack
-        self.link = Pipe(0.0)
+        self.link = Pipe(0.0, rack.uplink.gateways)
         self.state = "trusted"
         self.risen = 0  # the latest moment at which it may have started, as far as is known
         self.fell = False  # it failed in a way that a restart explains, and has not served since
@@ -125,7 +125,7 @@
     def __init__(self, terms: api.Terms, seed: int, now: int) -> None:
         self.terms, self.seed, self.draws = terms, seed, 0
         self.hosts: dict[int, Host] = {}
-        self.racks = [Rack(terms.lineup.uplink) for _ in range(max(1, terms.lineup.racks))]
+        self.racks = [Rack(terms.lineup.uplink, terms.gateways) for _ in range(max(1, terms.lineup.racks))]
         self.playbacks: dict[int, Playback] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.took: deque[int] = deque(maxlen=WINDOW)
