--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -476,7 +476,7 @@
         """Mechanism 1: the noted share, as it would be after what this gateway has changed since it was true."""
         if host.share is None:
             return 1.0
-        then = host.link.own - host.link.since(host.share[0] - self.terms.lineup.note_lag)
+        then = host.link.own - host.link.since(host.share[0] - 2 * self.terms.lineup.note_lag)
         return min(1.0, host.share[1] * max(then, 0.0) / host.link.own) if host.link.own > 0 else 1.0
 
     def rise(self, now: int, playing: list[Playback]) -> None:
