--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -489,6 +489,8 @@
         if able:
             pb = max(able, key=lambda pb: pb.gain(pb.rung + 1))
             self.put(now, pb, pb.rung + 1)
+            if pb.host:
+                pb.host.stepped = now
 
     def put(self, now: int, pb: Playback, rung: int) -> None:
         self.account(now, pb, rung)
