Short hosts have no room, and racks short together tell of their uplink

Cause: uplinks are the narrow place and nobody reports them; told from slow links by hosts of one rack going short together while their links say there is room. Changes: a host short by its notes counts as having no room; where uplinks are not reported, hosts of a rack that are short together stand in for the report. Ought also to catch a rack switch that loses capacity; it may hurt where several links of one rack are slow at once, as the rest of that rack is then left alone.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -132,6 +132,7 @@
         self.requests: deque[int] = deque()
         self.further: deque[int] = deque()
         self.out: list[api.Action] = []
+        self.uplinks_told = False
 
     def chance(self) -> float:
         self.draws += 1
@@ -244,6 +245,7 @@
         elif event.news is News.LINK:
             host.link.asked = (now - lag, event.value)
         elif event.news is News.UPLINK:
+            self.uplinks_told = True
             host.rack.uplink.asked = (now - lag, event.value)
         elif pb.plan.floor <= event.value <= pb.top:
             self.account(now, pb, int(event.value))
@@ -280,6 +282,7 @@
         if sound(load.link):
             host.link.asked = (now, load.link or 0.0)
         if sound(load.uplink):
+            self.uplinks_told = True
             host.rack.uplink.asked = (now, load.uplink or 0.0)
 
     # The account.
@@ -314,7 +317,9 @@
         if now - host.risen < self.terms.rules.warm_after:
             cold = self.terms.rules.cold_share
             size *= cold + (1 - cold) * (now - host.risen) / self.terms.rules.warm_after
-        return min(size - host.link.used(now), host.rack.free(now))
+        room = min(size - host.link.used(now), host.rack.free(now))
+        share = self.share(now, host)
+        return room if share >= SHORT else min(room, (share - 1) * size)
 
     # Setting up.
 
@@ -445,6 +450,8 @@
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
         for pb in [pb for pb in self.playbacks.values() if pb.state == "held"]:
             self.step(now, pb, "again")
+        for rack in self.racks:
+            self.blame_uplink(now, rack)
         for host in self.hosts.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
@@ -472,6 +479,17 @@
             elif now - host.stepped >= QUIET:
                 self.rise(now, playing)
 
+    def blame_uplink(self, now: int, rack: Rack) -> None:
+        """Where nobody reports uplinks, hosts of one rack that are short together tell of theirs."""
+        if self.uplinks_told:
+            return
+        playing = [host for host in rack.hosts if host.playbacks]
+        shares = sorted(host.share for host in playing if host.share)
+        if len(shares) > 1 and 2 * len(shares) >= len(playing):
+            at, share = shares[-1]
+            middle = sorted(share for _, share in shares)[len(shares) // 2]
+            rack.uplink.asked = (at - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
+
     def share(self, now: int, host: Host) -> float:
         """Mechanism 1: the noted share, as it would be after what this gateway has changed since it was true."""
         if host.share is None:
