Gateways tell each other what they have on each link, where messages are allowed

Change: each tick a short message (three bytes a host in use) in place of routine probes; where nothing is heard the own account stands.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import struct
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -30,6 +31,8 @@
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
 STRIKES = 2  # failures in a row that set a host aside
 PROOFS = 2  # probes it has to answer before it comes back
+WORD = struct.Struct("<HB")  # to peers: a host's tag, and how much of its link this gateway has there
+FINE = 100  # in parts of the told size
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
 NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
@@ -44,6 +47,7 @@
         self.size, self.gateways = size, gateways
         self.own = 0.0
         self.changes: deque[tuple[int, float]] = deque(maxlen=64)
+        self.peers: dict[int, tuple[int, float]] = {}  # what other gateways last said they have here, and when
         self.asked: tuple[int, float] | None = None  # since when it holds, over the size
 
     def add(self, now: int, rate: float) -> None:
@@ -58,7 +62,7 @@
 
     def used(self, now: int) -> float:
         if self.asked is None or not self.told(now):
-            return self.own
+            return self.own + sum(rate for at, rate in self.peers.values() if now - at < 3 * TICK)
         return max(self.own, self.asked[1] * self.size + self.gateways * self.since(self.asked[0]))
 
 
@@ -234,6 +238,18 @@
         if event.ending in STRIKING:
             self.step(now, host, "bad")
 
+    def told_by_peer(self, now: int, event: api.FromPeer) -> None:
+        if len(event.data) % WORD.size:
+            return
+        told = dict(WORD.iter_unpack(event.data))
+        for host in self.hosts.values():
+            host.link.peers[event.sender] = (now, told.get(host.id & 0xFFFF, 0) / FINE * host.link.size)
+
+    def tell_peers(self) -> None:
+        told = [(host, int(FINE * host.link.own / host.link.size)) for host in self.hosts.values() if host.playbacks]
+        data = b"".join(WORD.pack(host.id & 0xFFFF, min(part, 255)) for host, part in told)
+        self.out.append(api.ToPeers(data[:255]))
+
     def noted(self, now: int, event: api.Note) -> None:
         pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
         if pb is None or host is None or pb.host is not host or not isfinite(event.value) or event.value < 0:
@@ -450,13 +466,15 @@
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
         for pb in [pb for pb in self.playbacks.values() if pb.state == "held"]:
             self.step(now, pb, "again")
+        if self.terms.allowed.messages and self.terms.gateways > 1:
+            self.tell_peers()
         for rack in self.racks:
             self.blame_uplink(now, rack)
         for host in self.hosts.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
             elif self.terms.allowed.probes and not host.probing and host.row.standing is Standing.READY and (
-                host.state == "aside" or (not self.terms.lineup.reports and self.chance() < TICK / QUIET * 2)
+                host.state == "aside" or (not self.terms.lineup.reports and not self.terms.allowed.messages and self.chance() < TICK / QUIET * 2)
             ):
                 host.probing = True
                 self.out.append(api.Probe(host.id))
@@ -525,6 +543,7 @@
     api.ViewerLeft: Gateway.left,
     api.Bell: Gateway.rung_bell,
     api.Probed: Gateway.probed,
+    api.FromPeer: Gateway.told_by_peer,
 }
 
 # State and input give the next state and an effect; what the effect returns is the next input.
