--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -1,15 +1,17 @@
 """All decisions of a gateway, with no wire, clock or thread of their own.
 
 Call: `gateway = Gateway(terms, seed, now)`; `gateway.begin(now)` gives the first actions, then
-`gateway.take(now, event)` gives the actions that each event asks for, to be carried out in their order. `now` is
-whole nanoseconds and never goes back. Terms, events and actions are the plain types of `burlmast.api`.
+`gateway.take(now, event)` those that each event asks for, to be carried out in their order. `now` is whole
+nanoseconds and never goes back. The interface, terms, events and actions, is `burlmast/api.py`.
 
-The design (docs/design.md) decides the ordinary path: `Gateway.tick` steps playbacks, `Gateway.place` sets them up.
-Beside it stand these mechanisms, six at most:
+The design (docs/design.md) decides the ordinary path: `Gateway.tick` steps, `Gateway.place` sets up. Beside
+it stand these mechanisms, six at most:
 1. Corrected notes: a late share is read against what this gateway has put on or taken off the link since.
 2. Setting aside: hosts that fail several times in a row get no set-ups until they have answered probes.
 3. Cold pace: a host that may have started lately gets a share of set-ups that is safe whatever others send.
 4. Further tries: a try that fails or stays out too long goes to the next holder, within terms and budget.
+5. Uplinks by inference: hosts of a rack that are short together tell of an uplink that nobody reports.
+6. Others' part: what gateways say they have on a link; where reports come, others do there as this one does.
 """
 
 from __future__ import annotations
@@ -37,7 +39,7 @@
 
 NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
 STRIKING = frozenset((Ending.ERROR, Ending.TIMEOUT, Ending.NO_CONNECTION, Ending.BROKEN))
-FALLING = frozenset((Ending.TIMEOUT, Ending.NO_CONNECTION, Ending.BROKEN))  # it may come back as a new process
+FALLING = STRIKING - {Ending.ERROR}  # the host may come back as a new process
 
 
 class Pipe:
@@ -46,8 +48,8 @@
     def __init__(self, size: float, gateways: int) -> None:
         self.size, self.gateways = size, gateways
         self.own = 0.0
-        self.changes: deque[tuple[int, float]] = deque(maxlen=64)
-        self.peers: dict[int, tuple[int, float]] = {}  # what other gateways last said they have here, and when
+        self.changes: deque[tuple[int, float]] = deque(maxlen=256)
+        self.peers: dict[int, tuple[int, float]] = {}  # what others last said they have here, and when
         self.asked: tuple[int, float] | None = None  # since when it holds, over the size
 
     def add(self, now: int, rate: float) -> None:
@@ -90,7 +92,7 @@
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.strikes = self.proofs = 0
         self.probing = False
-        self.streams = 0.0
+        self.streams: tuple[int, float] = (-QUIET, 0.0)  # when told, what ran there
         self.share: tuple[int, float] | None = None  # when the note came, the share
         self.stepped = -QUIET
         self.sent: deque[int] = deque(maxlen=256)
@@ -177,12 +179,13 @@
                 host.rack.hosts.append(host)
             elif row.started > host.row.started:
                 host.risen = max(host.risen, row.started)
-                host.state, host.fell, host.strikes, host.link.asked, host.share = "trusted", False, 0, None, None
+                host.fell, host.link.asked, host.share = False, None, None
             host.row = row
         if event.scope is not Scope.CHANGES:
             for host in self.hosts.values():
                 if host.id not in named:
                     host.row = host.row._replace(standing=Standing.GONE)
+        # Where weights tell nothing of size, kinds are compared by the streams they run.
         lineup = self.terms.lineup
         ready = [host for host in self.hosts.values() if host.row.standing is Standing.READY]
         mean = sum(self.streams(host) for host in ready) / max(1, len(ready))
@@ -196,18 +199,25 @@
 
     def arrived(self, now: int, event: api.Arrived) -> None:
         request = event.request
-        if request.pb in self.playbacks or request.plan >= len(self.terms.plans):
+        if request.pb in self.playbacks:
+            return
+        if request.plan >= len(self.terms.plans):
+            self.out.append(api.Reject(request.pb, 0))
             return
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
-        self.requests.append(now)
+        if self.terms.rules.further_free is not None:
+            self.requests.append(now)
         self.out.append(api.SetAlarm(max(0, request.patience - 3 * self.terms.beat), PB_TOKEN + pb.id))
         self.step(now, pb, "arrive")
 
     def handed_over(self, now: int, event: api.HandedOver) -> None:
         host, request = self.hosts.get(event.host), event.request
-        if host is None or request.pb in self.playbacks or request.plan >= len(self.terms.plans):
+        if request.pb in self.playbacks or request.plan >= len(self.terms.plans):
             return
+        if host is None:  # not listed, so nothing is sent there, but what it plays holds its seat
+            row = api.HostRow(event.host, 0, 0, 0, Standing.GONE, 1.0, 0)
+            host = self.hosts[event.host] = Host(row, self.racks[0])
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
         pb.state = "playing"
@@ -219,7 +229,7 @@
         if pb and pb.host and pb.state == "trying" and event.attempt == len(pb.tries) - 1:
             self.took.append(event.took)
             self.step(now, pb, "flowing")
-            self.step(now, pb.host, "good") if pb.host else None
+            self.step(now, pb.host, "good")
 
     def ended(self, now: int, event: api.Ended) -> None:
         pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
@@ -232,21 +242,24 @@
         if event.ending not in NEVER_RAN:
             pb.maybe_ran.append((pb.sent_at, host))
         self.unsettle(now, pb)
-        self.step(now, pb, "over" if event.final else "failed")
-        if event.ending in FALLING:
-            host.fell = True
+        host.fell = host.fell or event.ending in FALLING
         if event.ending in STRIKING:
             self.step(now, host, "bad")
+        self.step(now, pb, "over" if event.final else "failed")
 
     def told_by_peer(self, now: int, event: api.FromPeer) -> None:
-        if len(event.data) % WORD.size:
+        if len(event.data) % WORD.size or event.sender >= self.terms.gateways:
             return
         told = dict(WORD.iter_unpack(event.data))
         for host in self.hosts.values():
             host.link.peers[event.sender] = (now, told.get(host.id & 0xFFFF, 0) / FINE * host.link.size)
 
     def tell_peers(self) -> None:
-        told = [(host, int(FINE * host.link.own / host.link.size)) for host in self.hosts.values() if host.playbacks]
+        told = [
+            (host, int(FINE * host.link.own / host.link.size))
+            for host in self.hosts.values()
+            if host.playbacks
+        ]
         data = b"".join(WORD.pack(host.id & 0xFFFF, min(part, 255)) for host, part in told)
         self.out.append(api.ToPeers(data[:255]))
 
@@ -294,7 +307,7 @@
             return value is not None and isfinite(value) and value >= 0
 
         if sound(load.streams):
-            host.streams = load.streams or 0.0
+            host.streams = (now, load.streams or 0.0)
         if sound(load.link):
             host.link.asked = (now, load.link or 0.0)
         if sound(load.uplink):
@@ -345,7 +358,9 @@
         if not host.fell and now - host.risen >= rules.warm_after:
             return True
         span = rules.fall_span + rules.fall_span // 10  # sends may bunch up on the way
-        budget = rules.fall_multiple * rules.cold_share * self.streams(host) * rules.fall_span / rules.warm_after
+        budget = (
+            rules.fall_multiple * rules.cold_share * self.streams(host) * rules.fall_span / rules.warm_after
+        )
         lately = sum(1 for at in host.sent if now - at < span)
         share = int(budget / self.terms.gateways)
         if share >= 1:
@@ -369,9 +384,11 @@
             ):
                 return False
         if pb.tries and rules.further_free is not None:
-            for log in (self.requests, self.further):
-                while log and now - log[0] >= rules.further_span:
-                    log.popleft()
+            # Danger: the edge of the window is the counter's; a beat to the safe side either way.
+            while self.requests and now - self.requests[0] >= rules.further_span - self.terms.beat:
+                self.requests.popleft()
+            while self.further and now - self.further[0] > rules.further_span + self.terms.beat:
+                self.further.popleft()
             if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
                 return False
         taken = self.seats.get((request.title, request.plan), 0)
@@ -379,37 +396,38 @@
 
     def place(self, now: int, pb: Playback) -> str:
         """The design's placement: most room by the own account, ties by the shared hash."""
-        best, best_rank, paced = None, None, False
+        best: tuple[tuple[bool, bool, bool, float, int], Host] | None = None
+        paced = False
         for host in self.hosts.values():
-            if not self.may_send(now, pb, host):
+            if now >= pb.abandon - self.terms.beat or not self.may_send(now, pb, host):
                 continue
             if not self.pace_allows(now, host):
                 paced = True
                 continue
             room = self.room(now, host)
             tie = zlib.crc32(f"{pb.request.title}:{host.id}".encode())
-            full = host.streams >= self.streams(host)
+            full = now - host.streams[0] < QUIET and host.streams[1] >= self.streams(host)
             rank = (host not in pb.tries, host.state == "trusted", not full, room, tie)
-            if best_rank is None or rank > best_rank:
-                best, best_rank = host, rank
-        if best is None or best_rank is None:
+            if best is None or rank > best[0]:
+                best = rank, host
+        if best is None:
+            # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "none"
-        room = best_rank[3]
+        (*_, room, _), host = best
         rung = pb.plan.floor
+        # Danger: all gateways see the same room and would each spend all of it on their next playback.
         while rung < pb.top and pb.rate(rung + 1) <= room / self.terms.gateways:
             rung += 1
-        if rung != pb.rung or pb.tries:
-            self.out.append(api.SetRung(pb.id, rung))
-        elif rung != pb.plan.floor:
+        if rung != pb.rung:
             self.out.append(api.SetRung(pb.id, rung))
         pb.rung = rung
-        self.settle(now, pb, best)
-        if pb.tries:
+        self.settle(now, pb, host)
+        if pb.tries and self.terms.rules.further_free is not None:
             self.further.append(now)
-        pb.tries.append(best)
+        pb.tries.append(host)
         pb.sent_at = now
-        best.sent.append(now)
-        self.out.append(api.SetUp(pb.id, best.id, self.allowance(now, pb)))
+        host.sent.append(now)
+        self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
         return "sent"
 
     def allowance(self, now: int, pb: Playback) -> int:
@@ -422,12 +440,15 @@
     def answer(self, now: int, pb: Playback) -> None:
         """The final answer to a request that is given up: a rejection wherever the terms allow one."""
         tried = bool(pb.maybe_ran) or pb.host is not None
-        if tried and pb.plan.repeat is not Repeat.FREELY and (
-            pb.plan.repeat is Repeat.NEVER or pb.plan.repeat_group != "all" or pb.host is not None
+        if (
+            tried
+            and pb.plan.repeat is not Repeat.FREELY
+            and (pb.plan.repeat is Repeat.NEVER or pb.plan.repeat_group != "all" or pb.host is not None)
         ):
             self.out.append(api.Abort(pb.id))
         else:
-            self.out.append(api.Reject(pb.id, self.terms.allowed.longest_advice if self.terms.allowed.advice else 0))
+            allowed = self.terms.allowed
+            self.out.append(api.Reject(pb.id, allowed.longest_advice if allowed.advice else 0))
         self.drop(now, pb)
 
     def give_up(self, now: int, pb: Playback) -> None:
@@ -473,9 +494,7 @@
         for host in self.hosts.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
-            elif self.terms.allowed.probes and not host.probing and host.row.standing is Standing.READY and (
-                host.state == "aside" or (not self.terms.lineup.reports and not self.terms.allowed.messages and self.chance() < TICK / QUIET * 2)
-            ):
+            elif self.wants_probe(host):
                 host.probing = True
                 self.out.append(api.Probe(host.id))
             playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
@@ -497,6 +516,14 @@
             elif now - host.stepped >= QUIET:
                 self.rise(now, playing)
 
+    def wants_probe(self, host: Host) -> bool:
+        """A host set aside has to prove itself; one that tells only when asked is asked if no peers tell."""
+        allowed = self.terms.allowed
+        if not allowed.probes or host.probing or host.row.standing is not Standing.READY:
+            return False
+        silent = not self.terms.lineup.reports and not allowed.messages
+        return host.state == "aside" or (silent and self.chance() < 2 * TICK / QUIET)
+
     def blame_uplink(self, now: int, rack: Rack) -> None:
         """Where nobody reports uplinks, hosts of one rack that are short together tell of theirs."""
         if self.uplinks_told:
@@ -504,12 +531,11 @@
         playing = [host for host in rack.hosts if host.playbacks]
         shares = sorted(host.share for host in playing if host.share)
         if len(shares) > 1 and 2 * len(shares) >= len(playing):
-            at, share = shares[-1]
             middle = sorted(share for _, share in shares)[len(shares) // 2]
-            rack.uplink.asked = (at - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
+            rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
 
     def share(self, now: int, host: Host) -> float:
-        """Mechanism 1: the noted share, as it would be after what this gateway has changed since it was true."""
+        """Mechanism 1: the noted share as it would be with what this gateway has changed since then."""
         if host.share is None:
             return 1.0
         then = host.link.own - host.link.since(host.share[0] - 2 * self.terms.lineup.note_lag)
@@ -533,7 +559,7 @@
         self.out.append(api.SetRung(pb.id, rung))
 
 
-EVENTS: dict[type, Callable[[Gateway, int, api.Event], None]] = {
+EVENTS: dict[type, Callable[..., None]] = {
     api.Listed: Gateway.listed,
     api.Arrived: Gateway.arrived,
     api.HandedOver: Gateway.handed_over,
@@ -547,7 +573,7 @@
 }
 
 # State and input give the next state and an effect; what the effect returns is the next input.
-TABLE: dict[tuple[str, str], tuple[str, Callable | None]] = {
+TABLE: dict[tuple[str, str], tuple[str, Callable[..., str | None] | None]] = {
     ("held", "arrive"): ("held", Gateway.place),
     ("held", "again"): ("held", Gateway.place),
     ("held", "sent"): ("trying", None),
--- a/burlmast/wirehost/codec.py
+++ b/burlmast/wirehost/codec.py
@@ -216,7 +216,8 @@
     """`HEALTH`."""
     reason, host, took, count = reader.take(HEALTH)
     values = load(reader, count)
-    return RawProbed(api.Probed(host, known(ENDINGS, reason, "outcome"), nanoseconds(took), api.Load()), values)
+    event = api.Probed(host, known(ENDINGS, reason, "outcome"), nanoseconds(took), api.Load())
+    return RawProbed(event, values)
 
 
 def peer(reader: Reader) -> api.FromPeer:
--- a/burlmast/wirehost/host.py
+++ b/burlmast/wirehost/host.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 from typing import BinaryIO
 
 from burlmast import api
@@ -71,7 +70,6 @@
     """Answer batches until the input ends."""
     seats: dict[int, Seat] = {}
     pools: dict[int, tuple[api.HostRow, ...]] = {}
-    gc.freeze()
     while head := exactly(source, codec.BATCH.size):
         number, size, count, clock = codec.BATCH.unpack(head)
         body = exactly(source, size)
