Nothing to hosts that may be cold in the first span after an own start

Change: it waits one span for such hosts. It also covers quick restarts in a loop; it hurts right after a start, when every host may be cold.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -129,7 +129,7 @@
     """One gateway's decisions."""
 
     def __init__(self, terms: api.Terms, seed: int, now: int) -> None:
-        self.terms, self.seed, self.draws = terms, seed, 0
+        self.terms, self.seed, self.draws, self.began = terms, seed, 0, now
         self.hosts: dict[int, Host] = {}
         self.racks = [Rack(terms.lineup.uplink, terms.gateways) for _ in range(max(1, terms.lineup.racks))]
         self.playbacks: dict[int, Playback] = {}
@@ -361,6 +361,9 @@
         budget = (
             rules.fall_multiple * rules.cold_share * self.streams(host) * rules.fall_span / rules.warm_after
         )
+        # Danger: an earlier life of this gateway may have spent the share of this span already.
+        if now - self.began < span:
+            return False
         lately = sum(1 for at in host.sent if now - at < span)
         share = int(budget / self.terms.gateways)
         if share >= 1:
