--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -92,6 +92,7 @@
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.strikes = self.proofs = 0
         self.probing = False
+        self.full = -QUIET  # when it last turned a setup try away
         self.streams: tuple[int, float] = (-QUIET, 0.0)  # when told, what ran there
         self.share: tuple[int, float] | None = None  # when the note came, the share
         self.stepped = -QUIET
@@ -240,6 +241,7 @@
             return
         if event.ending is Ending.FULL:
             host.link.asked = (now, max(1.0, host.link.asked[1] if host.link.asked else 1.0))
+            host.full = now
         if event.ending not in NEVER_RAN:
             pb.maybe_ran.append((pb.sent_at, host))
         self.unsettle(now, pb)
@@ -411,6 +413,8 @@
             room = self.room(now, host)
             tie = zlib.crc32(f"{pb.request.title}:{host.id}".encode())
             full = now - host.streams[0] < QUIET and host.streams[1] >= self.streams(host)
+            # Danger: a host out of places on an idle link looks roomier than any link that is short.
+            full = full or now - host.full < TICK
             rank = (host not in pb.tries, host.state == "trusted", not full, room, tie)
             if best is None or rank > best[0]:
                 best = rank, host
