--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -31,6 +31,7 @@
 WINDOW = 20  # room samples that a rise looks back on
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
+STALE = 3 * SECOND  # hosts note a short share each second; one not said again is over
 STRIKES = 2  # failures in a row that set a host aside
 PROOFS = 2  # probes it has to answer before it comes back
 WORD = struct.Struct("<HB")  # to peers: a host's tag, and how much of its link this gateway has there
@@ -497,6 +498,10 @@
             self.step(now, pb, "again")
         if self.terms.allowed.messages and self.terms.gateways > 1:
             self.tell_peers()
+        for host in self.hosts.values():
+            # Danger: once the last playback leaves a short host nothing says that the shortage is over.
+            if host.share and now - host.share[0] > STALE:
+                host.share = None
         for rack in self.racks:
             self.blame_uplink(now, rack)
         for host in self.hosts.values():
@@ -508,8 +513,6 @@
             playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
             if not playing:
                 continue
-            if host.share and now - host.share[0] > 3 * SECOND:
-                host.share = None
             room = self.room(now, host)
             short = host.share is not None
             share = self.share(now, host)
