No rise on a link of which only the own part is known

Change: a rise wants a report of the link, or word from all peers, or 20 s since the start. It also covers a gateway that restarts alone; it may hurt where reports are rare and links idle.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -63,9 +63,15 @@
     def told(self, now: int) -> bool:
         return self.asked is not None and now - self.asked[0] < QUIET
 
+    def heard(self, now: int) -> list[float]:
+        return [rate for at, rate in self.peers.values() if now - at < 3 * TICK]
+
+    def known(self, now: int) -> bool:
+        return self.told(now) or len(self.heard(now)) >= self.gateways - 1
+
     def used(self, now: int) -> float:
         if self.asked is None or not self.told(now):
-            return self.own + sum(rate for at, rate in self.peers.values() if now - at < 3 * TICK)
+            return self.own + sum(self.heard(now))
         return max(self.own, self.asked[1] * self.size + self.gateways * self.since(self.asked[0]))
 
 
@@ -524,7 +530,8 @@
                     if pb.rung > pb.plan.floor and self.share(now, host) < SHORT:
                         self.put(now, pb, pb.rung - 1)
                         host.stepped = now
-            elif now - host.stepped >= QUIET:
+            elif now - host.stepped >= QUIET and (host.link.known(now) or now - self.began >= QUIET):
+                # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
                 self.rise(now, playing)
 
     def wants_probe(self, host: Host) -> bool:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -171,3 +171,23 @@
     assert desk.take(api.Flowing(1, 0, host, MS)) == []
     assert desk.end(1, 0, host, Ending.SERVED, final=True) == []
     assert desk.end(1, 0, host, Ending.SERVED, final=True) == []
+
+
+def test_no_rise_on_a_link_of_which_only_the_own_part_is_known() -> None:
+    desk = Desk(hosts=1, gateways=3)
+    desk.play(1, 0)
+    assert not of(desk.tick(), api.SetRung)
+    desk.take(api.Note(1, 0, 0, News.LINK, 0.1))
+    assert of(desk.tick(), api.SetRung)
+
+
+def test_short_share_is_forgotten_where_nothing_of_ours_plays_any_more() -> None:
+    desk = Desk(hosts=2)
+    desk.play(1, 0)
+    desk.play(2, 1, rung=3)
+    desk.take(api.Note(1, 0, 0, News.SHARE, 0.3))
+    desk.end(1, 0, 0, Ending.SERVED, final=True)
+    assert of(desk.ask(10), api.SetUp)[0].host == 1
+    desk.end(10, 0, 1, Ending.SERVED, final=True)
+    desk.tick(after=2 * TICK)
+    assert of(desk.ask(11), api.SetUp)[0].host == 0
