--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -187,7 +187,9 @@
     desk.play(2, 1, rung=3)
     desk.take(api.Note(1, 0, 0, News.SHARE, 0.3))
     desk.end(1, 0, 0, Ending.SERVED, final=True)
-    assert of(desk.ask(10), api.SetUp)[0].host == 1
-    desk.end(10, 0, 1, Ending.SERVED, final=True)
+    for pb in (10, 11):
+        desk.ask(pb, plan=0)
     desk.tick(after=2 * TICK)
-    assert of(desk.ask(11), api.SetUp)[0].host == 0
+    for pb in (10, 11):
+        desk.take(api.ViewerLeft(pb))
+    assert of(desk.ask(12), api.SetUp)[0].host == 0
