--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -378,9 +378,13 @@
         share = int(budget / self.terms.gateways)
         if share >= 1:
             return lately < share
-        # Less than one each: gateways take turns, so that any window sees two gateways at most.
-        turn = (now // span + host.id) % self.terms.gateways == self.terms.number
-        return turn and lately < int(budget / 2)
+        # Less than one each: gateways take turns, so that any span sees two turns at most, or one if two are
+        # too many: then a turn lasts half a span and a whole one passes before the next.
+        half = span // 2
+        wide = int(budget / 2) >= 1
+        turn, into = divmod(now // half + host.id, 2 if wide else 3)
+        mine = turn % self.terms.gateways == self.terms.number and (wide or into == 0)
+        return mine and lately < (int(budget / 2) if wide else int(budget))
 
     def may_send(self, now: int, pb: Playback, host: Host) -> bool:
         request, plan, rules = pb.request, pb.plan, self.terms.rules
