Look at waiting requests again each eighth of the startup target

Cause: a request that only lacked a turn was looked at once a tick (2 s), past its startup target, and rejected late.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -301,8 +301,7 @@
             self.out.append(api.KeepInformed())
         elif event.token - PB_TOKEN in self.playbacks:
             pb = self.playbacks[event.token - PB_TOKEN]
-            if now >= pb.abandon - 4 * self.terms.beat:
-                self.step(now, pb, "abandon")
+            self.step(now, pb, "abandon" if now >= pb.abandon - 4 * self.terms.beat else "again")
 
     def probed(self, now: int, event: api.Probed) -> None:
         host = self.hosts.get(event.host)
@@ -449,6 +448,10 @@
         self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
         return "sent"
 
+    def look_again(self, now: int, pb: Playback) -> None:
+        # Danger: a turn is shorter than a tick, and the startup target may be too.
+        self.out.append(api.SetAlarm(pb.plan.startup_target // 8, PB_TOKEN + pb.id))
+
     def allowance(self, now: int, pb: Playback) -> int:
         left = max(1, pb.abandon - now - self.terms.beat)
         if pb.plan.repeat is not Repeat.FREELY or len(pb.tries) >= self.terms.allowed.tries:
@@ -504,8 +507,6 @@
 
     def tick(self, now: int) -> None:
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
-        for pb in [pb for pb in self.playbacks.values() if pb.state == "held"]:
-            self.step(now, pb, "again")
         if self.terms.allowed.messages and self.terms.gateways > 1:
             self.tell_peers()
         for host in self.hosts.values():
@@ -599,7 +600,7 @@
     ("held", "arrive"): ("held", Gateway.place),
     ("held", "again"): ("held", Gateway.place),
     ("held", "sent"): ("trying", None),
-    ("held", "wait"): ("held", None),
+    ("held", "wait"): ("held", Gateway.look_again),
     ("held", "none"): ("over", Gateway.answer),
     ("held", "abandon"): ("over", Gateway.answer),
     ("held", "left"): ("over", Gateway.drop),
