Playbacks handed over prove a host's age

Cause: after a start every host counts as cold for the warm time, though what it plays could not have been set up in less under the pace. Change: each handed-over playback proves one interval of the pace. It may hurt where playbacks were set up by gateways that keep no pace.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -232,6 +232,10 @@
         pb.tries.append(host)
         # Danger: what played before is no change of ours; as one it would deepen every early short note.
         self.settle(0, pb, host)
+        # What it plays for us was set up under the pace or before it: it is at least that old.
+        span, budget = self.pace(host)
+        age = int(len(host.playbacks) * span * self.terms.gateways / max(budget, 1.0))
+        host.risen = max(host.row.started, min(host.risen, now - age))
 
     def flowing(self, now: int, event: api.Flowing) -> None:
         pb = self.playbacks.get(event.pb)
@@ -361,15 +365,18 @@
 
     # Setting up.
 
+    def pace(self, host: Host) -> tuple[int, float]:
+        """The span that counts and what all gateways together may send to a cold host in it."""
+        rules = self.terms.rules
+        capacity = rules.cold_share * self.streams(host) / rules.warm_after
+        # Sends may bunch up on the way: ours keep to a longer span.
+        return rules.fall_span + rules.fall_span // 10, rules.fall_multiple * capacity * rules.fall_span
+
     def pace_allows(self, now: int, host: Host) -> bool:
         """Mechanism 3."""
-        rules = self.terms.rules
-        if not host.fell and now - host.risen >= rules.warm_after:
+        if not host.fell and now - host.risen >= self.terms.rules.warm_after:
             return True
-        span = rules.fall_span + rules.fall_span // 10  # sends may bunch up on the way
-        budget = (
-            rules.fall_multiple * rules.cold_share * self.streams(host) * rules.fall_span / rules.warm_after
-        )
+        span, budget = self.pace(host)
         # Danger: an earlier life of this gateway may have spent the share of this span already.
         if now - self.began < span:
             return False
@@ -379,9 +386,8 @@
             return lately < share
         # Less than one each: gateways take turns, so that any span sees two turns at most, or one if two are
         # too many: then a turn lasts half a span and a whole one passes before the next.
-        half = span // 2
         wide = int(budget / 2) >= 1
-        turn, into = divmod(now // half + host.id, 2 if wide else 3)
+        turn, into = divmod(now // (span // 2) + host.id, 2 if wide else 3)
         mine = turn % self.terms.gateways == self.terms.number and (wide or into == 0)
         return mine and lately < (int(budget / 2) if wide else int(budget))
 
