--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -85,7 +85,9 @@
     def free(self, now: int) -> float:
         if self.uplink.told(now):
             return self.uplink.size - self.uplink.used(now)
-        return self.uplink.size - sum(host.link.used(now) for host in self.hosts)
+        # Danger: the last report of a host that has gone would fill its rack for long.
+        there = [host for host in self.hosts if host.row.standing is not Standing.GONE]
+        return self.uplink.size - sum(host.link.used(now) for host in there)
 
 
 class Host:
