What equal shares of the cold budget leave goes round in turns

Cause: a budget of 5.4 a span for three gateways gave each one set-up and wasted 2.4. Change: the rest goes to the gateway whose turn it is; ours keep to a span longer by five beats in place of a tenth. Turns go by the clock that the list's start times are on; gateways whose clocks differ by more than five beats may overlap.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -372,7 +372,7 @@
         rules = self.terms.rules
         capacity = rules.cold_share * self.streams(host) / rules.warm_after
         # Sends may bunch up on the way: ours keep to a longer span.
-        return rules.fall_span + rules.fall_span // 10, rules.fall_multiple * capacity * rules.fall_span
+        return rules.fall_span + 5 * self.terms.beat, rules.fall_multiple * capacity * rules.fall_span
 
     def pace_allows(self, now: int, host: Host) -> bool:
         """Mechanism 3."""
@@ -384,14 +384,13 @@
             return False
         lately = sum(1 for at in host.sent if now - at < span)
         share = int(budget / self.terms.gateways)
-        if share >= 1:
-            return lately < share
-        # Less than one each: gateways take turns, so that any span sees two turns at most, or one if two are
-        # too many: then a turn lasts half a span and a whole one passes before the next.
-        wide = int(budget / 2) >= 1
-        turn, into = divmod(now // (span // 2) + host.id, 2 if wide else 3)
-        mine = turn % self.terms.gateways == self.terms.number and (wide or into == 0)
-        return mine and lately < (int(budget / 2) if wide else int(budget))
+        rest = budget - share * self.terms.gateways
+        # What is left after equal shares goes round in turns. Any span sees two turns at most, or one if two
+        # are too many: then a turn lasts half a span and a whole one passes before the next.
+        turn, into = divmod(now // (span // 2) + host.id, 2 if rest >= 2 else 3)
+        if turn % self.terms.gateways == self.terms.number and (rest >= 2 or into == 0):
+            share += int(rest / 2 if rest >= 2 else rest)
+        return lately < share
 
     def may_send(self, now: int, pb: Playback, host: Host) -> bool:
         request, plan, rules = pb.request, pb.plan, self.terms.rules
