An inferred uplink shortage fades into what the links say

Change: the inference fades over the quiet time. It also covers a rack blamed wrongly; it may hurt where a shortage of an unreported uplink lasts longer than the quiet time, as set-ups then try it again.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -80,14 +80,18 @@
 
     def __init__(self, size: float, gateways: int) -> None:
         self.uplink = Pipe(size, gateways)
+        self.inferred = False
         self.hosts: list[Host] = []
 
     def free(self, now: int) -> float:
-        if self.uplink.told(now):
-            return self.uplink.size - self.uplink.used(now)
         # Danger: the last report of a host that has gone would fill its rack for long.
         there = [host for host in self.hosts if host.row.standing is not Standing.GONE]
-        return self.uplink.size - sum(host.link.used(now) for host in there)
+        by_links = self.uplink.size - sum(host.link.used(now) for host in there)
+        if self.uplink.asked is None or not self.uplink.told(now):
+            return by_links
+        # Danger: what was inferred from a shortage outlives it; it fades into what the links say.
+        faded = (now - self.uplink.asked[0]) / QUIET if self.inferred else 0.0
+        return (1 - faded) * (self.uplink.size - self.uplink.used(now)) + faded * by_links
 
 
 class Host:
@@ -562,6 +566,7 @@
         shares = sorted(host.share for host in playing if host.share)
         if len(shares) > 1 and 2 * len(shares) >= len(playing):
             middle = sorted(share for _, share in shares)[len(shares) // 2]
+            rack.inferred = True
             rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
 
     def share(self, now: int, host: Host) -> float:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -193,3 +193,17 @@
     for pb in (10, 11):
         desk.take(api.ViewerLeft(pb))
     assert of(desk.ask(12), api.SetUp)[0].host == 0
+
+
+def test_an_inferred_uplink_shortage_fades() -> None:
+    desk = Desk(hosts=2, lineup=replace(TERMS.lineup, racks=1))
+    for host in (0, 1):
+        desk.play(host, host)
+        desk.take(api.Note(host, 0, host, News.LINK, 0.05))
+        desk.take(api.Note(host, 0, host, News.SHARE, 0.5))
+    desk.tick()
+    for host in (0, 1):
+        desk.take(api.Note(host, 0, host, News.SHARE, 1.0))
+    assert not of(desk.ask(10), api.SetRung)
+    desk.now += QUIET * 3 // 4
+    assert of(desk.ask(11), api.SetRung)[0].rung > 0
