A crash on playbacks at unlisted hosts mended; only short notes start the quiet time

Found by rereading: telling peers divided by the size of a host that no list has named. Its test fails without the fix. Requests counted for the further-try budget are forgotten as they age.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -221,6 +221,7 @@
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
         if self.terms.rules.further_free is not None:
+            self.forget(now)
             self.requests.append(now)
         self.out.append(api.SetAlarm(max(0, request.patience - 3 * self.terms.beat), PB_TOKEN + pb.id))
         self.step(now, pb, "arrive")
@@ -275,13 +276,11 @@
             host.link.peers[event.sender] = (now, told.get(host.id & 0xFFFF, 0) / FINE * host.link.size)
 
     def tell_peers(self) -> None:
-        told = [
-            (host, int(FINE * host.link.own / host.link.size))
-            for host in self.hosts.values()
-            if host.playbacks
-        ]
-        data = b"".join(WORD.pack(host.id & 0xFFFF, min(part, 255)) for host, part in told)
-        self.out.append(api.ToPeers(data[:255]))
+        # Danger: a host that no list has named yet has no size.
+        told = [host for host in self.hosts.values() if host.playbacks and host.link.size > 0]
+        parts = [max(0, min(int(FINE * host.link.own / host.link.size), 255)) for host in told]
+        words = [WORD.pack(host.id & 0xFFFF, part) for host, part in zip(told, parts, strict=True)]
+        self.out.append(api.ToPeers(b"".join(words)[:255]))
 
     def noted(self, now: int, event: api.Note) -> None:
         pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
@@ -290,7 +289,7 @@
         lag = self.terms.lineup.note_lag if pb.state == "playing" else 0
         if event.news is News.SHARE:
             host.share = (now, event.value) if event.value < SHORT else None
-            host.stepped = max(host.stepped, now)
+            host.stepped = now if host.share else host.stepped
         elif event.news is News.LINK:
             host.link.asked = (now - lag, event.value)
         elif event.news is News.UPLINK:
@@ -374,7 +373,7 @@
     def pace(self, host: Host) -> tuple[int, float]:
         """The span that counts and what all gateways together may send to a cold host in it."""
         rules = self.terms.rules
-        capacity = rules.cold_share * self.streams(host) / rules.warm_after
+        capacity = rules.cold_share * self.streams(host) / max(1, rules.warm_after)
         # Sends may bunch up on the way: ours keep to a longer span.
         return rules.fall_span + 5 * self.terms.beat, rules.fall_multiple * capacity * rules.fall_span
 
@@ -396,6 +395,14 @@
             share += int(rest / 2 if rest >= 2 else rest)
         return lately < share
 
+    def forget(self, now: int) -> None:
+        # Danger: the edge of the window is the counter's; a beat to the safe side either way.
+        span, beat = self.terms.rules.further_span, self.terms.beat
+        while self.requests and now - self.requests[0] >= span - beat:
+            self.requests.popleft()
+        while self.further and now - self.further[0] > span + beat:
+            self.further.popleft()
+
     def may_send(self, now: int, pb: Playback, host: Host) -> bool:
         request, plan, rules = pb.request, pb.plan, self.terms.rules
         if host.row.standing is not Standing.READY:
@@ -411,11 +418,7 @@
             ):
                 return False
         if pb.tries and rules.further_free is not None:
-            # Danger: the edge of the window is the counter's; a beat to the safe side either way.
-            while self.requests and now - self.requests[0] >= rules.further_span - self.terms.beat:
-                self.requests.popleft()
-            while self.further and now - self.further[0] > rules.further_span + self.terms.beat:
-                self.further.popleft()
+            self.forget(now)
             if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
                 return False
         taken = self.seats.get((request.title, request.plan), 0)
@@ -499,9 +502,6 @@
         host.strikes += 1
         return "struck out" if host.strikes >= STRIKES else None
 
-    def set_aside(self, now: int, host: Host) -> None:
-        host.proofs = 0
-
     def clear(self, now: int, host: Host) -> None:
         host.strikes = 0
         if host.fell:  # it may be a new process: nothing says since when
@@ -628,7 +628,7 @@
     ("over", "over"): ("over", Gateway.drop),
     ("trusted", "good"): ("trusted", Gateway.clear),
     ("trusted", "bad"): ("trusted", Gateway.strike),
-    ("trusted", "struck out"): ("aside", Gateway.set_aside),
+    ("trusted", "struck out"): ("aside", Gateway.disprove),
     ("aside", "good"): ("trusted", Gateway.clear),
     ("aside", "proof"): ("aside", Gateway.prove),
     ("aside", "no proof"): ("aside", Gateway.disprove),
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -207,3 +207,10 @@
     assert not of(desk.ask(10), api.SetRung)
     desk.now += QUIET * 3 // 4
     assert of(desk.ask(11), api.SetRung)[0].rung > 0
+
+
+def test_a_playback_handed_over_at_an_unlisted_host_breaks_nothing() -> None:
+    desk = Desk(hosts=1, gateways=2, allowed=replace(TERMS.allowed, messages=True))
+    desk.play(1, 99)
+    assert of(desk.tick(), api.ToPeers) == [api.ToPeers(b"")]
+    assert not [a for a in desk.ask(2) if isinstance(a, api.SetUp) and a.host == 99]
