--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -97,6 +97,8 @@
         self.sent = self.finals = 0
         for number in range(terms.gateways):
             self.start(number, dict(self.started))
+            for _ in range(4):
+                self.hand_over(number)
 
     def start(self, number: int, list_starts: dict[int, int]) -> None:
         for key in [key for key in self.asked if key[0] == number]:
@@ -113,6 +115,21 @@
         rows = tuple(row(host, started=started) for host, started in list_starts.items())
         self.hand(number, Listed(Scope.CACHED, rows))
 
+    def hand_over(self, number: int) -> None:
+        plan, title, host = (
+            self.dice.randrange(len(self.terms.plans)),
+            self.next_pb % 3,
+            self.dice.randrange(8),
+        )
+        held = [k for k in self.asked if k[0] == number and self.asked[k][0][1:6:4] == (plan, title)]
+        if not self.terms.plans[plan].seats or len(held) < self.terms.plans[plan].seats:
+            request = Request(self.next_pb, plan, 3.0, 0, 4, title, 1, SECOND)
+            self.asked[number, request.pb] = request, self.now
+            self.tries[number, request.pb] = [Try(host, self.now, self.now)]
+            self.tries[number, request.pb][0].flows = True
+            self.hand(number, api.HandedOver(request, host))
+        self.next_pb += 1
+
     def hand(self, number: int, event: api.Event) -> None:
         self.carry_out(number, self.gateways[number].take(self.now, event))
 
