--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -84,3 +84,11 @@
     for broken in ({**SETTINGS, "zone": "two"}, {k: v for k, v in SETTINGS.items() if k != "zone"}):
         done = run(batch(1, 5e4, attach(broken)))
         assert done.returncode == 0 and done.stdout[12] == 10 and b"zone" in done.stdout
+
+
+def test_a_failure_of_the_decisions_is_a_bug_with_its_text() -> None:
+    family = {**SETTINGS["familyInfo"], "rungKb": [], "worthByRung": []}  # type: ignore[dict-item]
+    start = batch(1, 5e4, attach({**SETTINGS, "familyInfo": family}), pool((70, 0)), MEMBERS)
+    done = run(start + batch(2, 6e4, accept(41)))
+    _, _, size = struct.unpack_from("<III", done.stdout)
+    assert done.returncode == 0 and b"IndexError" in done.stdout[12 + size :]
