--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -104,7 +104,6 @@
     weights_tell_size: bool
     reports: bool
     note_lag: int
-    refuses_when_full: bool
 
 
 @dataclass(frozen=True)
@@ -125,7 +124,6 @@
 class HouseRules:
     """The figures of the six rules."""
 
-    drain_grace: int
     cold_share: float
     warm_after: int
     fall_multiple: float
@@ -141,7 +139,6 @@
 
     gateways: int
     number: int
-    zone: int
     beat: int
     plans: tuple[Plan, ...]
     ladder: Ladder
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -102,7 +102,6 @@
     terms = api.Terms(
         gateways=sheet.get("siblings", int),
         number=sheet.get("slotNo", int),
-        zone=sheet.get("zone", int),
         beat=sheet.span("tickMs"),
         plans=plans(sheet, fam),
         ladder=api.Ladder(tuple(fam.numbers("rungKb")), tuple(fam.numbers("worthByRung"))),
@@ -115,7 +114,6 @@
             weights_tell_size=sheet.get("weights", str, "silent") in ("nominal", "rough"),
             reports=report.get("source", str) == "piggyback",
             note_lag=fam.span("seeMs", 0.0),
-            refuses_when_full=fam.get("refusesFrom", float, 0.0) > 0,
         ),
         allowed=api.Allowed(
             probes=allowed.get("probes", bool),
@@ -128,7 +126,6 @@
             ask_within=rules.span("askWithinMs", 0.0),
         ),
         rules=api.HouseRules(
-            drain_grace=rules.span("drainGraceMs"),
             cold_share=rules.get("coldFrom", float),
             warm_after=rules.span("warmAfterMs"),
             fall_multiple=rules.get("fallMultiple", float),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,13 +17,12 @@
 TERMS = api.Terms(
     gateways=1,
     number=0,
-    zone=0,
     beat=BEAT,
     plans=(PLAN,),
     ladder=api.Ladder((200.0, 400.0, 900.0, 1800.0), (0.2, 0.5, 0.75, 1.0)),
-    lineup=api.Lineup(4, 2, 8000.0, 24000.0, (30,), False, True, SECOND, False),
+    lineup=api.Lineup(4, 2, 8000.0, 24000.0, (30,), False, True, SECOND),
     allowed=api.Allowed(True, False, True, 3, False, 0, False, 10 * SECOND),
-    rules=api.HouseRules(SECOND, 0.4, 12 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
+    rules=api.HouseRules(0.4, 12 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
 )
 
 
@@ -178,7 +177,7 @@
                 assert plan.repeat_group == "all" or host % 4 == one.host % 4, "rule 2: outside the group"
                 assert self.now - one.sent <= plan.repeat_span, "rule 2: outside the span"
         told = self.told.get((number, host))
-        assert told is None or self.now - told <= rules.drain_grace, "rule 3"
+        assert told is None or self.now - told <= SECOND, "rule 3"
         self.count_cold(number, host)
         title = [key for key in self.tries if key[0] == number and self.asked[key][0].title == request.title]
         same = [key for key in title if self.asked[key][0].plan == request.plan]
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -10,7 +10,6 @@
 SETTINGS = {
     "siblings": 1,
     "slotNo": 0,
-    "zone": 0,
     "tickMs": 10.0,
     "discovery": "automatic",
     "unheard": {"of": 1},
@@ -81,9 +80,9 @@
 
 
 def test_a_needed_setting_that_is_missing_or_ill_typed_is_named_in_a_bug() -> None:
-    for broken in ({**SETTINGS, "zone": "two"}, {k: v for k, v in SETTINGS.items() if k != "zone"}):
+    for broken in ({**SETTINGS, "slotNo": "two"}, {k: v for k, v in SETTINGS.items() if k != "slotNo"}):
         done = run(batch(1, 5e4, attach(broken)))
-        assert done.returncode == 0 and done.stdout[12] == 10 and b"zone" in done.stdout
+        assert done.returncode == 0 and done.stdout[12] == 10 and b"slotNo" in done.stdout
 
 
 def test_a_failure_of_the_decisions_is_a_bug_with_its_text() -> None:
