--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -90,7 +90,7 @@
         if self.uplink.asked is None or not self.uplink.told(now):
             return by_links
         # Danger: what was inferred from a shortage outlives it; it fades into what the links say.
-        faded = (now - self.uplink.asked[0]) / QUIET if self.inferred else 0.0
+        faded = ((now - self.uplink.asked[0]) / QUIET) ** 2 if self.inferred else 0.0
         return (1 - faded) * (self.uplink.size - self.uplink.used(now)) + faded * by_links
 
 
