--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -103,6 +103,7 @@
     streams_by_kind: tuple[int, ...]
     weights_tell_size: bool
     reports: bool
+    tells: bool
     note_lag: int
 
 
--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -16,7 +16,6 @@
 
 from __future__ import annotations
 
-import struct
 import zlib
 from collections import deque
 from collections.abc import Callable
@@ -32,10 +31,10 @@
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
 STALE = 3 * SECOND  # hosts note a short share each second; one not said again is over
+FRESH = 5 * SECOND  # a host that told nothing for so long is asked before a set-up goes there
+ASKS = 0  # hosts asked for one playback
 STRIKES = 2  # failures in a row that set a host aside
 PROOFS = 2  # probes it has to answer before it comes back
-WORD = struct.Struct("<HB")  # to peers: a host's tag, and how much of its link this gateway has there
-FINE = 100  # in parts of the told size
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
 NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
@@ -46,11 +45,10 @@
 class Pipe:
     """A link or an uplink: its told size, what it was last said to carry, and this gateway's part in that."""
 
-    def __init__(self, size: float, gateways: int) -> None:
-        self.size, self.gateways = size, gateways
+    def __init__(self, size: float, gateway: Gateway) -> None:
+        self.size, self.gateway = size, gateway
         self.own = 0.0
         self.changes: deque[tuple[int, float]] = deque(maxlen=256)
-        self.peers: dict[int, tuple[int, float]] = {}  # what others last said they have here, and when
         self.asked: tuple[int, float] | None = None  # since when it holds, over the size
 
     def add(self, now: int, rate: float) -> None:
@@ -63,23 +61,19 @@
     def told(self, now: int) -> bool:
         return self.asked is not None and now - self.asked[0] < QUIET
 
-    def heard(self, now: int) -> list[float]:
-        return [rate for at, rate in self.peers.values() if now - at < 3 * TICK]
-
-    def known(self, now: int) -> bool:
-        return self.told(now) or len(self.heard(now)) >= self.gateways - 1
-
     def used(self, now: int) -> float:
         if self.asked is None or not self.told(now):
-            return self.own + sum(self.heard(now))
-        return max(self.own, self.asked[1] * self.size + self.gateways * self.since(self.asked[0]))
+            # Danger: with many gateways most links are strangers, and would all look empty.
+            return max(self.own, self.gateway.usual() * self.size)
+        at, part = self.asked
+        return max(self.own, part * self.size + self.gateway.alike(now, now - at) * self.since(at))
 
 
 class Rack:
     """Hosts behind one uplink."""
 
-    def __init__(self, size: float, gateways: int) -> None:
-        self.uplink = Pipe(size, gateways)
+    def __init__(self, size: float, gateway: Gateway) -> None:
+        self.uplink = Pipe(size, gateway)
         self.inferred = False
         self.hosts: list[Host] = []
 
@@ -99,12 +93,13 @@
 
     def __init__(self, row: api.HostRow, rack: Rack) -> None:
         self.id, self.row, self.rack = row.host, row, rack
-        self.link = Pipe(0.0, rack.uplink.gateways)
+        self.link = Pipe(0.0, rack.uplink.gateway)
         self.state = "trusted"
         self.risen = 0  # the latest moment at which it may have started, as far as is known
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.strikes = self.proofs = 0
         self.probing = False
+        self.askers: list[Playback] = []  # those who wait for its answer
         self.full = -QUIET  # when it last turned a setup try away
         self.streams: tuple[int, float] = (-QUIET, 0.0)  # when told, what ran there
         self.share: tuple[int, float] | None = None  # when the note came, the share
@@ -126,7 +121,7 @@
         self.host: Host | None = None
         self.tries: list[Host] = []
         self.maybe_ran: list[tuple[int, Host]] = []  # tries that may have run: when sent, where
-        self.sent_at = 0
+        self.sent_at = self.asked = 0
         self.rooms: deque[float] = deque(maxlen=WINDOW)
         self.ladder = ladder
 
@@ -145,7 +140,12 @@
     def __init__(self, terms: api.Terms, seed: int, now: int) -> None:
         self.terms, self.seed, self.draws, self.began = terms, seed, 0, now
         self.hosts: dict[int, Host] = {}
-        self.racks = [Rack(terms.lineup.uplink, terms.gateways) for _ in range(max(1, terms.lineup.racks))]
+        self.racks = [Rack(terms.lineup.uplink, self) for _ in range(max(1, terms.lineup.racks))]
+        self.cells: dict[int, list[Host]] = {}
+        self.busy: dict[int, Host] = {}  # hosts that a tick has to look after
+        self.parts: deque[float] = deque(maxlen=WINDOW)  # what links were lately said to carry, over their size
+        self.crowds: deque[float] = deque(maxlen=WINDOW)  # streams that hosts lately said they run
+        self.arrivals: deque[int] = deque(maxlen=WINDOW)
         self.playbacks: dict[int, Playback] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.took: deque[int] = deque(maxlen=WINDOW)
@@ -186,11 +186,12 @@
         named = {row.host for row in event.rows}
         for row in event.rows:
             host = self.hosts.get(row.host)
-            if host is None:
-                host = self.hosts[row.host] = Host(row, self.racks[row.cell % len(self.racks)])
+            if host is None or host not in host.rack.hosts:
+                host = self.hosts[row.host] = host or Host(row, self.racks[row.cell % len(self.racks)])
                 # A gateway that starts knows only its last list, and a host may have restarted since.
                 host.risen = now if event.scope is Scope.CACHED else row.started
                 host.rack.hosts.append(host)
+                self.cells.setdefault(row.cell, []).append(host)
             elif row.started > host.row.started:
                 host.risen = max(host.risen, row.started)
                 host.fell, host.link.asked, host.share = False, None, None
@@ -220,6 +221,7 @@
             return
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
+        self.arrivals.append(now)
         if self.terms.rules.further_free is not None:
             self.forget(now)
             self.requests.append(now)
@@ -268,20 +270,6 @@
             self.step(now, host, "bad")
         self.step(now, pb, "over" if event.final else "failed")
 
-    def told_by_peer(self, now: int, event: api.FromPeer) -> None:
-        if len(event.data) % WORD.size or event.sender >= self.terms.gateways:
-            return
-        told = dict(WORD.iter_unpack(event.data))
-        for host in self.hosts.values():
-            host.link.peers[event.sender] = (now, told.get(host.id & 0xFFFF, 0) / FINE * host.link.size)
-
-    def tell_peers(self) -> None:
-        # Danger: a host that no list has named yet has no size.
-        told = [host for host in self.hosts.values() if host.playbacks and host.link.size > 0]
-        parts = [max(0, min(int(FINE * host.link.own / host.link.size), 255)) for host in told]
-        words = [WORD.pack(host.id & 0xFFFF, part) for host, part in zip(told, parts, strict=True)]
-        self.out.append(api.ToPeers(b"".join(words)[:255]))
-
     def noted(self, now: int, event: api.Note) -> None:
         pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
         if pb is None or host is None or pb.host is not host or not isfinite(event.value) or event.value < 0:
@@ -292,6 +280,7 @@
             host.stepped = now if host.share else host.stepped
         elif event.news is News.LINK:
             host.link.asked = (now - lag, event.value)
+            self.parts.append(event.value)
         elif event.news is News.UPLINK:
             self.uplinks_told = True
             host.rack.uplink.asked = (now - lag, event.value)
@@ -318,7 +307,12 @@
             return
         host.probing = False
         self.loaded(now, host, event.load)
+        if event.ending is not Ending.SERVED:
+            host.full = now
         self.step(now, host, "proof" if event.ending is Ending.SERVED else "no proof")
+        waiting, host.askers = host.askers, []
+        for pb in waiting:
+            self.step(now, pb, "answered")
 
     def loaded(self, now: int, host: Host, load: api.Load) -> None:
         def sound(value: float | None) -> bool:
@@ -326,17 +320,31 @@
 
         if sound(load.streams):
             host.streams = (now, load.streams or 0.0)
+            self.crowds.append(load.streams or 0.0)
         if sound(load.link):
             host.link.asked = (now, load.link or 0.0)
+            self.parts.append(load.link or 0.0)
         if sound(load.uplink):
             self.uplinks_told = True
             host.rack.uplink.asked = (now, load.uplink or 0.0)
 
     # The account.
 
+    def usual(self) -> float:
+        """What links lately said to carry, for one that said nothing."""
+        return sum(self.parts) / len(self.parts) if self.parts else 0.0
+
+    def alike(self, now: int, span: int) -> float:
+        """How many gateways, this one too, do in such a span what this one does."""
+        return self.terms.gateways
+        crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
+        since = now - (self.arrivals[0] if len(self.arrivals) == WINDOW else self.began)
+        return 1 + (crowd - 1) * min(1.0, len(self.arrivals) * span / max(1, since))
+
     def settle(self, now: int, pb: Playback, host: Host) -> None:
         pb.host = host
         host.playbacks[pb.id] = pb
+        self.busy[host.id] = host
         seat = (pb.request.title, pb.request.plan)
         self.seats[seat] = self.seats.get(seat, 0) + 1
         host.link.add(now, pb.rate(pb.rung))
@@ -386,14 +394,14 @@
         if now - self.began < span:
             return False
         lately = sum(1 for at in host.sent if now - at < span)
-        share = int(budget / self.terms.gateways)
-        rest = budget - share * self.terms.gateways
-        # What is left after equal shares goes round in turns. Any span sees two turns at most, or one if two
-        # are too many: then a turn lasts half a span and a whole one passes before the next.
+        gateways = self.terms.gateways
+        share, rest = divmod(int(budget), gateways) if budget >= gateways else (0, budget)
+        # What is left after equal shares goes round in turns, one set-up each. Any span sees two turns at most,
+        # or one if two are too many: then a turn lasts half a span and a whole one passes before the next.
         turn, into = divmod(now // (span // 2) + host.id, 2 if rest >= 2 else 3)
-        if turn % self.terms.gateways == self.terms.number and (rest >= 2 or into == 0):
-            share += int(rest / 2 if rest >= 2 else rest)
-        return lately < share
+        turns = int(rest >= 1 and (rest >= 2 or into == 0))
+        mine = (self.terms.number - turn * max(1, turns)) % gateways < turns
+        return lately < share + mine * max(1, int(rest / 2))
 
     def forget(self, now: int) -> None:
         # Danger: the edge of the window is the counter's; a beat to the safe side either way.
@@ -407,8 +415,6 @@
         request, plan, rules = pb.request, pb.plan, self.terms.rules
         if host.row.standing is not Standing.READY:
             return False
-        if (host.row.cell - request.home) % max(1, self.terms.lineup.cells) >= request.copies:
-            return False
         for sent_at, earlier in pb.maybe_ran:
             same = {"zone": host.row.zone == earlier.row.zone, "cell": host.row.cell == earlier.row.cell}
             if plan.repeat is Repeat.NEVER:
@@ -424,11 +430,16 @@
         taken = self.seats.get((request.title, request.plan), 0)
         return len(pb.tries) < self.terms.allowed.tries and not (plan.seats and taken >= plan.seats)
 
+    def holders(self, request: api.Request) -> list[Host]:
+        cells = max(1, self.terms.lineup.cells)
+        places = [(request.home + place) % cells for place in range(min(request.copies, cells))]
+        return [host for place in places for host in self.cells.get(place, ())]
+
     def place(self, now: int, pb: Playback) -> str:
         """The design's placement: most room by the own account, ties by the shared hash."""
         best: tuple[tuple[bool, bool, bool, float, int], Host] | None = None
         paced = False
-        for host in self.hosts.values():
+        for host in self.holders(pb.request):
             if now >= pb.abandon - self.terms.beat or not self.may_send(now, pb, host):
                 continue
             if not self.pace_allows(now, host):
@@ -438,7 +449,7 @@
             tie = zlib.crc32(f"{pb.request.title}:{host.id}".encode())
             full = now - host.streams[0] < QUIET and host.streams[1] >= self.streams(host)
             # Danger: a host out of places on an idle link looks roomier than any link that is short.
-            full = full or now - host.full < TICK
+            full = full or now - host.full < TICK or host.probing
             rank = (host not in pb.tries, host.state == "trusted", not full, room, tie)
             if best is None or rank > best[0]:
                 best = rank, host
@@ -446,9 +457,15 @@
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "none"
         (*_, room, _), host = best
+        if self.asks_first(now, pb, host):
+            self.ask(now, host)
+            host.askers.append(pb)
+            pb.asked += 1
+            return "ask"
         rung = pb.plan.floor
         # Danger: all gateways see the same room and would each spend all of it on their next playback.
-        while rung < pb.top and pb.rate(rung + 1) <= room / self.terms.gateways:
+        claims = self.alike(now, 2 * self.terms.lineup.note_lag)
+        while rung < pb.top and pb.rate(rung + 1) <= room / claims:
             rung += 1
         if rung != pb.rung:
             self.out.append(api.SetRung(pb.id, rung))
@@ -462,6 +479,19 @@
         self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
         return "sent"
 
+    def asks_first(self, now: int, pb: Playback, host: Host) -> bool:
+        """Mechanism 6."""
+        allowed = self.terms.allowed
+        if not allowed.probes or not self.terms.lineup.tells or host.probing or pb.tries or pb.asked >= ASKS:
+            return False
+        heard = host.link.asked[0] if host.link.asked else -QUIET
+        return now - max(heard, host.streams[0]) >= FRESH
+
+    def ask(self, now: int, host: Host) -> None:
+        host.probing = True
+        self.busy[host.id] = host
+        self.out.append(api.Probe(host.id))
+
     def look_again(self, now: int, pb: Playback) -> None:
         # Danger: a turn is shorter than a tick, and the startup target may be too.
         self.out.append(api.SetAlarm(pb.plan.startup_target // 8, PB_TOKEN + pb.id))
@@ -500,6 +530,7 @@
 
     def strike(self, now: int, host: Host) -> str | None:
         host.strikes += 1
+        self.busy[host.id] = host
         return "struck out" if host.strikes >= STRIKES else None
 
     def clear(self, now: int, host: Host) -> None:
@@ -518,20 +549,22 @@
 
     def tick(self, now: int) -> None:
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
-        if self.terms.allowed.messages and self.terms.gateways > 1:
-            self.tell_peers()
-        for host in self.hosts.values():
+        self.busy = {
+            host.id: host
+            for host in self.busy.values()
+            if host.playbacks or host.share or host.probing or host.state == "aside"
+        }
+        for host in self.busy.values():
             # Danger: once the last playback leaves a short host nothing says that the shortage is over.
             if host.share and now - host.share[0] > STALE:
                 host.share = None
-        for rack in self.racks:
+        for rack in {id(host.rack): host.rack for host in self.busy.values()}.values():
             self.blame_uplink(now, rack)
-        for host in self.hosts.values():
+        for host in self.busy.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
             elif self.wants_probe(host):
-                host.probing = True
-                self.out.append(api.Probe(host.id))
+                self.ask(now, host)
             playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
             if not playing:
                 continue
@@ -546,16 +579,19 @@
                     if pb.rung > pb.plan.floor and self.share(now, host) < SHORT:
                         self.put(now, pb, pb.rung - 1)
                         host.stepped = now
-            elif now - host.stepped >= QUIET and (host.link.known(now) or now - self.began >= QUIET):
+            elif now - host.stepped >= QUIET and self.knows(now, host):
                 # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
                 self.rise(now, playing)
 
+    def knows(self, now: int, host: Host) -> bool:
+        return host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET
+
     def wants_probe(self, host: Host) -> bool:
         """A host set aside has to prove itself; one that tells only when asked is asked if no peers tell."""
         allowed = self.terms.allowed
         if not allowed.probes or host.probing or host.row.standing is not Standing.READY:
             return False
-        silent = not self.terms.lineup.reports and not allowed.messages
+        silent = not self.terms.lineup.reports and self.terms.lineup.tells
         return host.state == "aside" or (silent and self.chance() < 2 * TICK / QUIET)
 
     def blame_uplink(self, now: int, rack: Rack) -> None:
@@ -604,7 +640,6 @@
     api.ViewerLeft: Gateway.left,
     api.Bell: Gateway.rung_bell,
     api.Probed: Gateway.probed,
-    api.FromPeer: Gateway.told_by_peer,
 }
 
 # State and input give the next state and an effect; what the effect returns is the next input.
@@ -613,9 +648,14 @@
     ("held", "again"): ("held", Gateway.place),
     ("held", "sent"): ("trying", None),
     ("held", "wait"): ("held", Gateway.look_again),
+    ("held", "ask"): ("asking", Gateway.look_again),
     ("held", "none"): ("over", Gateway.answer),
     ("held", "abandon"): ("over", Gateway.answer),
     ("held", "left"): ("over", Gateway.drop),
+    ("asking", "answered"): ("held", Gateway.place),
+    ("asking", "again"): ("held", Gateway.place),
+    ("asking", "abandon"): ("over", Gateway.answer),
+    ("asking", "left"): ("over", Gateway.drop),
     ("trying", "flowing"): ("playing", None),
     ("trying", "failed"): ("held", Gateway.place),
     ("trying", "over"): ("over", Gateway.drop),
@@ -628,6 +668,7 @@
     ("over", "over"): ("over", Gateway.drop),
     ("trusted", "good"): ("trusted", Gateway.clear),
     ("trusted", "bad"): ("trusted", Gateway.strike),
+    ("trusted", "no proof"): ("trusted", Gateway.strike),
     ("trusted", "struck out"): ("aside", Gateway.disprove),
     ("aside", "good"): ("trusted", Gateway.clear),
     ("aside", "proof"): ("aside", Gateway.prove),
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -113,6 +113,7 @@
             streams_by_kind=tuple(int(x) for x in fam.numbers("kindStreams")),
             weights_tell_size=sheet.get("weights", str, "silent") in ("nominal", "rough"),
             reports=report.get("source", str) == "piggyback",
+            tells=report.get("source", str) != "silent",
             note_lag=fam.span("seeMs", 0.0),
         ),
         allowed=api.Allowed(
