Others' part is estimated from streams and the own rate of requests, not counted once a gateway

Cause: at hundreds of gateways an own set-up counted hundreds of times and the first rung was always the lowest.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -336,7 +336,6 @@
 
     def alike(self, now: int, span: int) -> float:
         """How many gateways, this one too, do in such a span what this one does."""
-        return self.terms.gateways
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
         since = now - (self.arrivals[0] if len(self.arrivals) == WINDOW else self.began)
         return 1 + (crowd - 1) * min(1.0, len(self.arrivals) * span / max(1, since))
