--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -398,9 +398,9 @@
         # What is left after equal shares goes round in turns, one set-up each. Any span sees two turns at most,
         # or one if two are too many: then a turn lasts half a span and a whole one passes before the next.
         turn, into = divmod(now // (span // 2) + host.id, 2 if rest >= 2 else 3)
-        turns = int(rest >= 1 and (rest >= 2 or into == 0))
+        turns = int(rest / 2) if rest >= 2 else int(rest) if into == 0 else 0
         mine = (self.terms.number - turn * max(1, turns)) % gateways < turns
-        return lately < share + mine * max(1, int(rest / 2))
+        return lately < share + mine
 
     def forget(self, now: int) -> None:
         # Danger: the edge of the window is the counter's; a beat to the safe side either way.
