Drops take a shortage in expectation: the last step of a gateway goes by its own chance

Cause: gateways that hold one playback each on a link all dropped for a small shortage, then waited 20 s to rise.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -104,6 +104,7 @@
         self.streams: tuple[int, float] = (-QUIET, 0.0)  # when told, what ran there
         self.share: tuple[int, float] | None = None  # when the note came, the share
         self.stepped = -QUIET
+        self.spared: deque[tuple[int, float]] = deque(maxlen=WINDOW)  # drops left to others, less those made
         self.sent: deque[int] = deque(maxlen=256)
         self.playbacks: dict[int, Playback] = {}
 
@@ -143,7 +144,9 @@
         self.racks = [Rack(terms.lineup.uplink, self) for _ in range(max(1, terms.lineup.racks))]
         self.cells: dict[int, list[Host]] = {}
         self.busy: dict[int, Host] = {}  # hosts that a tick has to look after
-        self.parts: deque[float] = deque(maxlen=WINDOW)  # what links were lately said to carry, over their size
+        self.parts: deque[float] = deque(
+            maxlen=WINDOW
+        )  # what links were lately said to carry, over their size
         self.crowds: deque[float] = deque(maxlen=WINDOW)  # streams that hosts lately said they run
         self.arrivals: deque[int] = deque(maxlen=WINDOW)
         self.playbacks: dict[int, Playback] = {}
@@ -574,10 +577,8 @@
                 pb.rooms.append(share * pb.rate(pb.rung) if short else pb.rate(pb.rung) + max(0.0, room))
             if short:
                 # Danger: a link short by a tenth whose playbacks all drop is left half empty.
-                for pb in sorted(playing, key=lambda pb: pb.gain(pb.rung) if pb.rung else 0.0):
-                    if pb.rung > pb.plan.floor and self.share(now, host) < SHORT:
-                        self.put(now, pb, pb.rung - 1)
-                        host.stepped = now
+                if share < SHORT:
+                    self.drop_some(now, host, playing, (1 - share) * host.link.own)
             elif now - host.stepped >= QUIET and self.knows(now, host):
                 # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
                 self.rise(now, playing)
@@ -585,6 +586,22 @@
     def knows(self, now: int, host: Host) -> bool:
         return host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET
 
+    def drop_some(self, now: int, host: Host, playing: list[Playback], need: float) -> None:
+        """Dearest kB first; where less than a step is left to take, by chance."""
+        wanted = host.link.own - need
+        for pb in sorted(playing, key=lambda pb: pb.gain(pb.rung) if pb.rung else 0.0):
+            if pb.rung == pb.plan.floor:
+                continue
+            step = pb.rate(pb.rung) - pb.rate(pb.rung - 1)
+            if need >= step or self.chance() < need / step:
+                self.put(now, pb, pb.rung - 1)
+                host.stepped = now
+            if need < step:
+                # Danger: the others, by their own chance, take what this gateway did not; not twice.
+                host.spared.append((now, wanted - host.link.own))
+                break
+            need -= step
+
     def wants_probe(self, host: Host) -> bool:
         """A host set aside has to prove itself; one that tells only when asked is asked if no peers tell."""
         allowed = self.terms.allowed
@@ -608,8 +625,10 @@
         """Mechanism 1: the noted share as it would be with what this gateway has changed since then."""
         if host.share is None:
             return 1.0
-        then = host.link.own - host.link.since(host.share[0] - 2 * self.terms.lineup.note_lag)
-        return min(1.0, host.share[1] * max(then, 0.0) / host.link.own) if host.link.own > 0 else 1.0
+        start = host.share[0] - 2 * self.terms.lineup.note_lag
+        then = host.link.own - host.link.since(start)
+        left = host.link.own + sum(rate for at, rate in host.spared if at >= start)
+        return min(1.0, host.share[1] * max(then, 0.0) / left) if left > 0 else 1.0
 
     def rise(self, now: int, playing: list[Playback]) -> None:
         able = []
