--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -616,7 +616,9 @@
             return
         playing = [host for host in rack.hosts if host.playbacks]
         shares = sorted(host.share for host in playing if host.share)
-        if len(shares) > 1 and 2 * len(shares) >= len(playing):
+        # A gateway that plays on one host of the rack alone takes the word of the link itself.
+        alone = len(playing) == 1 and playing[0].link.told(now) and playing[0].link.used(now) < playing[0].link.size
+        if 2 * len(shares) >= len(playing) and (len(shares) > 1 or (shares and alone)):
             middle = sorted(share for _, share in shares)[len(shares) // 2]
             rack.inferred = True
             rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
