--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -581,7 +581,7 @@
                     self.drop_some(now, host, playing, (1 - share) * host.link.own)
             elif now - host.stepped >= QUIET and self.knows(now, host):
                 # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
-                self.rise(now, playing)
+                self.rise(now, host, playing)
 
     def knows(self, now: int, host: Host) -> bool:
         return host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET
@@ -632,7 +632,7 @@
         left = host.link.own + sum(rate for at, rate in host.spared if at >= start)
         return min(1.0, host.share[1] * max(then, 0.0) / left) if left > 0 else 1.0
 
-    def rise(self, now: int, playing: list[Playback]) -> None:
+    def rise(self, now: int, host: Host, playing: list[Playback]) -> None:
         able = []
         for pb in playing:
             if pb.rung < pb.top and min(pb.rooms) > 0:
@@ -641,9 +641,15 @@
                     able.append(pb)
         if able:
             pb = max(able, key=lambda pb: pb.gain(pb.rung + 1))
-            self.put(now, pb, pb.rung + 1)
-            if pb.host:
-                pb.host.stepped = now
+            # Danger: every gateway that plays there sees the same room in the same tick.
+            step = pb.rate(pb.rung + 1) - pb.rate(pb.rung)
+            streams = host.streams[1] if now - host.streams[0] < QUIET else median(self.crowds or [0.0])
+            crowd = min(float(self.terms.gateways), max(1.0, streams / len(playing)))
+            behind = min(float(self.terms.gateways), crowd * len(host.rack.hosts))
+            room = min((host.link.size - host.link.used(now)) / crowd, host.rack.free(now) / behind)
+            if self.chance() * step < room:
+                self.put(now, pb, pb.rung + 1)
+                host.stepped = now
 
     def put(self, now: int, pb: Playback, rung: int) -> None:
         self.account(now, pb, rung)
