--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -140,6 +140,7 @@
 
     gateways: int
     number: int
+    zone: int
     beat: int
     plans: tuple[Plan, ...]
     ladder: Ladder
--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -452,7 +452,8 @@
             full = now - host.streams[0] < QUIET and host.streams[1] >= self.streams(host)
             # Danger: a host out of places on an idle link looks roomier than any link that is short.
             full = full or now - host.full < TICK or host.probing
-            rank = (host not in pb.tries, host.state == "trusted", not full, room, tie)
+            near = room // (host.link.size / 8 or 1.0)
+            rank = (host not in pb.tries, host.state == "trusted", not full, near, host.row.zone == self.terms.zone, room, tie)
             if best is None or rank > best[0]:
                 best = rank, host
         if best is None:
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -102,6 +102,7 @@
     terms = api.Terms(
         gateways=sheet.get("siblings", int),
         number=sheet.get("slotNo", int),
+        zone=sheet.get("zone", int, 0),
         beat=sheet.span("tickMs"),
         plans=plans(sheet, fam),
         ladder=api.Ladder(tuple(fam.numbers("rungKb")), tuple(fam.numbers("worthByRung"))),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,6 +17,7 @@
 TERMS = api.Terms(
     gateways=1,
     number=0,
+    zone=0,
     beat=BEAT,
     plans=(PLAN,),
     ladder=api.Ladder((200.0, 400.0, 900.0, 1800.0), (0.2, 0.5, 0.75, 1.0)),
