--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -398,11 +398,13 @@
         lately = sum(1 for at in host.sent if now - at < span)
         gateways = self.terms.gateways
         share, rest = divmod(int(budget), gateways) if budget >= gateways else (0, budget)
-        # What is left after equal shares goes round in turns, one set-up each. Any span sees two turns at most,
-        # or one if two are too many: then a turn lasts half a span and a whole one passes before the next.
-        turn, into = divmod(now // (span // 2) + host.id, 2 if rest >= 2 else 3)
-        turns = int(rest / 2) if rest >= 2 else int(rest) if into == 0 else 0
-        mine = (self.terms.number - turn * max(1, turns)) % gateways < turns
+        # What is left after equal shares goes round in turns, a set-up each, so short that a span touches no more
+        # of them than are left; where only one is, a whole span passes before the next.
+        if rest < 2:
+            turn, into = divmod(now // (span // 4), 5)
+        else:
+            turn, into = now // (span // (int(rest) - 1)), 0
+        mine = rest >= 1 and into == 0 and (self.terms.number - turn - host.id) % gateways == 0
         return lately < share + mine
 
     def forget(self, now: int) -> None:
