A handed-over playback proves a host's age only beyond the first share and turn

Cause: at hundreds of gateways a single one proved more than a minute, though it may have come in the first turn.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -244,9 +244,11 @@
         pb.tries.append(host)
         # Danger: what played before is no change of ours; as one it would deepen every early short note.
         self.settle(0, pb, host)
-        # What it plays for us was set up under the pace or before it: it is at least that old.
+        # What it plays for us was set up under the pace or before it: beyond a share and a turn, each took its time.
         span, budget = self.pace(host)
-        age = int(len(host.playbacks) * span * self.terms.gateways / max(budget, 1.0))
+        gateways = self.terms.gateways
+        paced = max(0, len(host.playbacks) - 1 - int(budget / gateways))
+        age = int(paced * span * gateways / max(budget, 1.0))
         host.risen = max(host.row.started, min(host.risen, now - age))
 
     def flowing(self, now: int, event: api.Flowing) -> None:
