--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -464,7 +464,7 @@
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "none"
         (*_, room, _), host = best
-        if self.asks_first(now, pb, host):
+        if not pb.tries and pb.asked < ASKS and self.stale(now, host):
             self.ask(now, host)
             host.askers.append(pb)
             pb.asked += 1
@@ -486,13 +486,11 @@
         self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
         return "sent"
 
-    def asks_first(self, now: int, pb: Playback, host: Host) -> bool:
-        """Mechanism 6."""
-        allowed = self.terms.allowed
-        if not allowed.probes or not self.terms.lineup.tells or host.probing or pb.tries or pb.asked >= ASKS:
-            return False
-        heard = host.link.asked[0] if host.link.asked else -QUIET
-        return now - max(heard, host.streams[0]) >= FRESH
+    def stale(self, now: int, host: Host) -> bool:
+        """Mechanism 6: a host that told nothing lately, and can be asked, is asked before more goes there."""
+        heard = max(host.link.asked[0] if host.link.asked else -QUIET, host.streams[0])
+        able = self.terms.allowed.probes and self.terms.lineup.tells and not host.probing
+        return able and now - heard >= FRESH
 
     def ask(self, now: int, host: Host) -> None:
         host.probing = True
@@ -570,7 +568,7 @@
         for host in self.busy.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
-            elif self.wants_probe(host):
+            elif host.state == "aside" and not host.probing and host.row.standing is Standing.READY:
                 self.ask(now, host)
             playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
             if not playing:
@@ -607,14 +605,6 @@
                 break
             need -= step
 
-    def wants_probe(self, host: Host) -> bool:
-        """A host set aside has to prove itself; one that tells only when asked is asked if no peers tell."""
-        allowed = self.terms.allowed
-        if not allowed.probes or host.probing or host.row.standing is not Standing.READY:
-            return False
-        silent = not self.terms.lineup.reports and self.terms.lineup.tells
-        return host.state == "aside" or (silent and self.chance() < 2 * TICK / QUIET)
-
     def blame_uplink(self, now: int, rack: Rack) -> None:
         """Where nobody reports uplinks, hosts of one rack that are short together tell of theirs."""
         if self.uplinks_told:
