--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -582,11 +582,11 @@
                 # Danger: a link short by a tenth whose playbacks all drop is left half empty.
                 if share < SHORT:
                     self.drop_some(now, host, playing, (1 - share) * host.link.own)
-            elif now - host.stepped >= QUIET and self.knows(now, host):
-                # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
+            elif now - host.stepped >= QUIET:
                 self.rise(now, host, playing)
 
     def knows(self, now: int, host: Host) -> bool:
+        # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
         return host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET
 
     def drop_some(self, now: int, host: Host, playing: list[Playback], need: float) -> None:
@@ -642,7 +642,11 @@
             crowd = min(float(self.terms.gateways), max(1.0, streams / len(playing)))
             behind = min(float(self.terms.gateways), crowd * len(host.rack.hosts))
             room = min((host.link.size - host.link.used(now)) / crowd, host.rack.free(now) / behind)
-            if self.chance() * step < room:
+            if self.chance() * step >= room:
+                return
+            if self.stale(now, host):
+                self.ask(now, host)
+            elif self.knows(now, host):
                 self.put(now, pb, pb.rung + 1)
                 host.stepped = now
 
