--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -342,8 +342,12 @@
     def alike(self, now: int, span: int) -> float:
         """How many gateways, this one too, do in such a span what this one does."""
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
+        return 1 + (crowd - 1) * min(1.0, self.rate(now) * span)
+
+    def rate(self, now: int) -> float:
+        """Own requests a nanosecond."""
         since = now - (self.arrivals[0] if len(self.arrivals) == WINDOW else self.began)
-        return 1 + (crowd - 1) * min(1.0, len(self.arrivals) * span / max(1, since))
+        return len(self.arrivals) / max(1, since)
 
     def settle(self, now: int, pb: Playback, host: Host) -> None:
         pb.host = host
@@ -471,7 +475,10 @@
             return "ask"
         rung = pb.plan.floor
         # Danger: all gateways see the same room and would each spend all of it on their next playback.
-        claims = self.alike(now, 2 * self.terms.lineup.note_lag)
+        span = 2 * self.terms.lineup.note_lag
+        alike = self.alike(now, span)
+        holding = sum(1 for _ in self.holders(pb.request)) / max(1, len(self.hosts))
+        claims = min(alike, 1 + self.rate(now) * span * self.terms.gateways * holding)
         while rung < pb.top and pb.rate(rung + 1) <= room / claims:
             rung += 1
         if rung != pb.rung:
