--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -148,7 +148,7 @@
             maxlen=WINDOW
         )  # what links were lately said to carry, over their size
         self.crowds: deque[float] = deque(maxlen=WINDOW)  # streams that hosts lately said they run
-        self.arrivals: deque[int] = deque(maxlen=WINDOW)
+        self.arrivals: deque[tuple[int, float]] = deque(maxlen=WINDOW)  # when, holders' part of all hosts
         self.playbacks: dict[int, Playback] = {}
         self.seats: dict[tuple[int, int], int] = {}
         self.took: deque[int] = deque(maxlen=WINDOW)
@@ -224,7 +224,7 @@
             return
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
-        self.arrivals.append(now)
+        self.arrivals.append((now, len(self.holders(request)) / max(1, len(self.hosts))))
         if self.terms.rules.further_free is not None:
             self.forget(now)
             self.requests.append(now)
@@ -342,12 +342,10 @@
     def alike(self, now: int, span: int) -> float:
         """How many gateways, this one too, do in such a span what this one does."""
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
-        return 1 + (crowd - 1) * min(1.0, self.rate(now) * span)
-
-    def rate(self, now: int) -> float:
-        """Own requests a nanosecond."""
-        since = now - (self.arrivals[0] if len(self.arrivals) == WINDOW else self.began)
-        return len(self.arrivals) / max(1, since)
+        since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
+        requests = len(self.arrivals) * span / max(1, since)
+        holding = sum(part for _, part in self.arrivals) / max(1, len(self.arrivals))
+        return 1 + min((crowd - 1) * min(1.0, requests), requests * self.terms.gateways * holding)
 
     def settle(self, now: int, pb: Playback, host: Host) -> None:
         pb.host = host
@@ -475,10 +473,7 @@
             return "ask"
         rung = pb.plan.floor
         # Danger: all gateways see the same room and would each spend all of it on their next playback.
-        span = 2 * self.terms.lineup.note_lag
-        alike = self.alike(now, span)
-        holding = sum(1 for _ in self.holders(pb.request)) / max(1, len(self.hosts))
-        claims = min(alike, 1 + self.rate(now) * span * self.terms.gateways * holding)
+        claims = self.alike(now, 2 * self.terms.lineup.note_lag)
         while rung < pb.top and pb.rate(rung + 1) <= room / claims:
             rung += 1
         if rung != pb.rung:
