--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -474,6 +474,9 @@
         rung = pb.plan.floor
         # Danger: all gateways see the same room and would each spend all of it on their next playback.
         claims = self.alike(now, 2 * self.terms.lineup.note_lag)
+        # Danger: where uplinks say nothing, rooms of strangers are wrong as often as links in use are short.
+        used = [host for host in self.busy.values() if host.playbacks and host.id != best[1].id]
+        room *= 1 - sum(1 for host in used if host.share) / max(1, len(used))
         while rung < pb.top and pb.rate(rung + 1) <= room / claims:
             rung += 1
         if rung != pb.rung:
