--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -26,7 +26,7 @@
 from burlmast.api import Ending, News, Repeat, Scope, Standing
 
 SECOND = 1_000_000_000
-TICK = 2 * SECOND  # the design's tick, open; 2 s to start
+TICK = SECOND * 3 // 2  # the design's tick, open
 WINDOW = 20  # room samples that a rise looks back on
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
