--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -20,7 +20,7 @@
 from collections import deque
 from collections.abc import Callable
 from math import isfinite
-from statistics import median
+from statistics import harmonic_mean, median
 
 from burlmast import api
 from burlmast.api import Ending, News, Repeat, Scope, Standing
@@ -63,7 +63,8 @@
     def used(self, now: int) -> float:
         if self.asked is None or not self.told(now):
             # Danger: with many gateways most links are strangers, and would all look empty.
-            return max(self.own, self.gateway.usual() * self.size)
+            parts = self.gateway.parts
+            return max(self.own, self.size * sum(parts) / max(1, len(parts)))
         at, part = self.asked
         return max(self.own, part * self.size + self.gateway.alike(now, now - at) * self.since(at))
 
@@ -93,7 +94,7 @@
     def __init__(self, row: api.HostRow, rack: Rack) -> None:
         self.id, self.row, self.rack = row.host, row, rack
         self.link = Pipe(0.0, rack.uplink.gateway)
-        self.state = "trusted"
+        self.state, self.places = "trusted", 1
         self.risen = 0  # the latest moment at which it may have started, as far as is known
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.strikes = self.proofs = 0
@@ -184,7 +185,7 @@
             wait = self.terms.allowed.ask_within // 4
             self.out.append(api.SetAlarm(wait // 2 + int(wait * self.chance() / 2), ASK_TOKEN))
             return
-        named = {row.host for row in event.rows}
+        lineup, named = self.terms.lineup, {row.host for row in event.rows}
         for row in event.rows:
             host = self.hosts.get(row.host)
             if host is None or host not in host.rack.hosts:
@@ -196,23 +197,18 @@
             elif row.started > host.row.started:
                 host.risen = max(host.risen, row.started)
                 host.fell, host.link.asked, host.share = False, None, None
-            host.row = row
+            host.row, host.places = row, dict(enumerate(lineup.streams_by_kind)).get(row.kind, 1)
         if event.scope is not Scope.CHANGES:
             for host in self.hosts.values():
                 if host.id not in named:
                     host.row = host.row._replace(standing=Standing.GONE)
         # Where weights tell nothing of size, kinds are compared by the streams they run.
-        lineup = self.terms.lineup
         ready = [host for host in self.hosts.values() if host.row.standing is Standing.READY]
-        mean = sum(self.streams(host) for host in ready) / max(1, len(ready))
+        mean = sum(host.places for host in ready) / max(1, len(ready))
         for host in self.hosts.values():
-            weight = host.row.weight if lineup.weights_tell_size else self.streams(host) / (mean or 1.0)
+            weight = host.row.weight if lineup.weights_tell_size else host.places / (mean or 1.0)
             host.link.size = lineup.link_per_weight * weight
 
-    def streams(self, host: Host) -> int:
-        kinds = self.terms.lineup.streams_by_kind
-        return kinds[host.row.kind] if host.row.kind < len(kinds) else 1
-
     def arrived(self, now: int, event: api.Arrived) -> None:
         request = event.request
         if request.pb in self.playbacks:
@@ -244,9 +240,8 @@
         self.settle(0, pb, host)
         # What it plays for us was set up under the pace, and beyond a share and a turn that takes time.
         span, budget = self.pace(host)
-        gateways = self.terms.gateways
-        paced = max(0, len(host.playbacks) - 1 - int(budget / gateways))
-        age = int(paced * span * gateways / max(budget, 1.0))
+        each = self.terms.gateways / max(budget, 1.0)
+        age = int(max(0, len(host.playbacks) - 1 - int(1 / each)) * span * each)
         host.risen = max(host.row.started, min(host.risen, now - age))
 
     def flowing(self, now: int, event: api.Flowing) -> None:
@@ -334,17 +329,13 @@
 
     # The account.
 
-    def usual(self) -> float:
-        """What links lately said to carry, for one that said nothing."""
-        return sum(self.parts) / len(self.parts) if self.parts else 0.0
-
     def alike(self, now: int, span: int) -> float:
         """How many gateways, this one too, do in such a span what this one does."""
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
         since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
         requests = len(self.arrivals) * span / max(1, since)
-        holding = sum(part for _, part in self.arrivals) / max(1, len(self.arrivals))
-        return 1 + min((crowd - 1) * min(1.0, requests), requests * self.terms.gateways * holding)
+        holding = sum(part for _, part in self.arrivals) / max(1, len(self.arrivals)) * self.terms.gateways
+        return 1 + min((crowd - 1) * min(1.0, requests), requests * holding)
 
     def carry(self, now: int, host: Host, rate: float) -> None:
         host.link.add(now, rate)
@@ -381,7 +372,7 @@
     def pace(self, host: Host) -> tuple[int, float]:
         """The span that counts and what all gateways together may send to a cold host in it."""
         rules = self.terms.rules
-        capacity = rules.cold_share * self.streams(host) / max(1, rules.warm_after)
+        capacity = rules.cold_share * host.places / max(1, rules.warm_after)
         # Sends may bunch up on the way: ours keep to a longer span.
         return rules.fall_span + 5 * self.terms.beat, rules.fall_multiple * capacity * rules.fall_span
 
@@ -393,17 +384,23 @@
         # Danger: an earlier life of this gateway may have spent the share of this span already.
         if now - self.began < span:
             return False
-        lately = sum(1 for at in host.sent if now - at < span)
-        gateways = self.terms.gateways
-        share, rest = divmod(int(budget), gateways) if budget >= gateways else (0, budget)
+        share, rest = divmod(int(budget), self.terms.gateways) if budget >= 1 else (0, 0)
         # What equal shares leave goes round in turns, a set-up each, so short that a span touches no more of
         # them than are left; where only one is, a whole span passes before the next.
-        if rest < 2:
-            turn, into = divmod(now // (span // 4), 5)
-        else:
-            turn, into = now // (span // (int(rest) - 1)), 0
-        mine = rest >= 1 and into == 0 and (self.terms.number - turn - host.id) % gateways == 0
-        return lately < share + mine
+        turn, into = divmod(now // (span // 4), 5) if rest < 2 else (now // (span // (rest - 1)), 0)
+        mine = rest and not into and (self.terms.number - turn - host.id) % self.terms.gateways == 0
+        return sum(1 for at in host.sent if now - at < span) < share + bool(mine)
+
+    def may_try(self, now: int, pb: Playback) -> bool:
+        plan, rules = pb.plan, self.terms.rules
+        if len(pb.tries) >= self.terms.allowed.tries or now >= pb.abandon - self.terms.beat:
+            return False
+        if pb.tries and rules.further_free is not None:
+            self.forget(now)
+            if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
+                return False
+        alike = [one for one in self.playbacks.values() if plan.seats and one.plan is plan and one.host]
+        return not 0 < plan.seats <= sum(1 for one in alike if one.title == pb.title)
 
     def forget(self, now: int) -> None:
         # Danger: the edge of the window is the counter's; a beat to the safe side either way.
@@ -414,45 +411,30 @@
             self.further.popleft()
 
     def may_send(self, now: int, pb: Playback, host: Host) -> bool:
-        plan, rules, beat = pb.plan, self.terms.rules, self.terms.beat
-        if host.row.standing is not Standing.READY:
-            return False
-        for sent_at, earlier in pb.maybe_ran:
-            same = {"zone": host.row.zone == earlier.row.zone, "cell": host.row.cell == earlier.row.cell}
-            group = same.get(plan.repeat_group, True) and now - sent_at < plan.repeat_span - 2 * beat
-            if plan.repeat is Repeat.NEVER or (plan.repeat is Repeat.WITHIN_GROUP and not group):
+        plan, row = pb.plan, host.row
+        for sent_at, earlier in pb.maybe_ran if plan.repeat is not Repeat.FREELY else ():
+            same = {"zone": row.zone == earlier.row.zone, "cell": row.cell == earlier.row.cell}
+            timely = now - sent_at < plan.repeat_span - 2 * self.terms.beat
+            if plan.repeat is Repeat.NEVER or not (timely and same.get(plan.repeat_group, True)):
                 return False
-        if pb.tries and rules.further_free is not None:
-            self.forget(now)
-            if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
-                return False
-        if plan.seats and plan.seats <= sum(
-            1
-            for held in self.playbacks.values()
-            if held.host and held.plan is plan and held.title == pb.title
-        ):
-            return False
-        return len(pb.tries) < self.terms.allowed.tries
+        return row.standing is Standing.READY
 
     def holders(self, request: api.Request) -> list[Host]:
         cells = max(1, self.terms.lineup.cells)
-        places = [(request.home + place) % cells for place in range(min(request.copies, cells))]
-        return [host for place in places for host in self.cells.get(place, ())]
+        places = range(request.home, request.home + min(request.copies, cells))
+        return [host for place in places for host in self.cells.get(place % cells, ())]
 
     def place(self, now: int, pb: Playback) -> str:
         """The design's placement: most room by the own account, ties by the shared hash."""
-        best: tuple[tuple[float, ...], Host] | None = None
-        paced = False
-        for host in self.holders(pb.request) if now < pb.abandon - self.terms.beat else ():
-            if self.may_send(now, pb, host):
-                if self.pace_allows(now, host):
-                    best = max(best or ((), host), (self.rank(now, pb, host), host), key=lambda one: one[0])
-                else:
-                    paced = True
-        if best is None:
+        holders = self.holders(pb.request) if self.may_try(now, pb) else ()
+        able = [host for host in holders if self.may_send(now, pb, host)]
+        paced = [host for host in able if self.pace_allows(now, host)]
+        if not paced:
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
-            return "wait" if paced and now < pb.arrived + pb.plan.startup_target else "abandon"
-        (*_, room, _), host = best
+            return "wait" if able and now < pb.arrived + pb.plan.startup_target else "abandon"
+        (*_, room, _), host = max(
+            ((self.rank(now, pb, host), host) for host in paced), key=lambda one: one[0]
+        )
         if not pb.tries and not pb.asked and self.stale(now, host):
             pb.asked = True
             host.askers.append(pb)
@@ -464,7 +446,7 @@
     def rank(self, now: int, pb: Playback, host: Host) -> tuple[float, ...]:
         room = self.room(now, host)
         # Danger: a host out of places on an idle link looks roomier than any link that is short.
-        full = now - host.streams[0] < QUIET and host.streams[1] >= self.streams(host)
+        full = now - host.streams[0] < QUIET and host.streams[1] >= host.places
         full = full or now - host.full < TICK or host.probing
         # Rooms that differ by less than reports do are ties: the own zone first.
         near = room // (host.link.size / 8 or 1.0)
@@ -518,20 +500,16 @@
 
     def answer(self, now: int, pb: Playback) -> None:
         """The final answer to a request that is given up: a rejection wherever the terms allow one."""
-        plan, tried = pb.plan, bool(pb.maybe_ran) or pb.host is not None
-        barred = plan.repeat is Repeat.NEVER or plan.repeat_group != "all" or pb.host is not None
-        if tried and plan.repeat is not Repeat.FREELY and barred:
+        plan, out, allowed = pb.plan, pb.host is not None, self.terms.allowed
+        if out and allowed.call_off:
+            self.out.append(api.CallOff(pb.id, len(pb.tries) - 1))
+        barred = plan.repeat is Repeat.NEVER or plan.repeat_group != "all" or out
+        if (out or pb.maybe_ran) and plan.repeat is not Repeat.FREELY and barred:
             self.out.append(api.Abort(pb.id))
         else:
-            allowed = self.terms.allowed
             self.out.append(api.Reject(pb.id, allowed.longest_advice if allowed.advice else 0))
         self.drop(now, pb)
 
-    def give_up(self, now: int, pb: Playback) -> None:
-        if self.terms.allowed.call_off:
-            self.out.append(api.CallOff(pb.id, len(pb.tries) - 1))
-        self.answer(now, pb)
-
     def drop(self, now: int, pb: Playback) -> None:
         if pb.host is None:
             self.playbacks.pop(pb.id, None)
@@ -584,7 +562,7 @@
 
     def drop_some(self, now: int, host: Host, playing: list[Playback], need: float) -> None:
         """Dearest kB first; where less than a step is left to take, by chance."""
-        # Danger: a link short by a tenth whose playbacks all drop, here or at all gateways, is left half empty.
+        # Danger: a link short by a tenth whose playbacks all drop, here or everywhere, is left half empty.
         wanted = host.link.own - need
         for pb in sorted(playing, key=lambda pb: pb.gain(pb.rung) if pb.rung else 0.0):
             if pb.rung == pb.plan.floor:
@@ -601,15 +579,13 @@
 
     def blame_uplink(self, now: int, rack: Rack) -> None:
         """Where nobody reports uplinks, hosts of one rack that are short together tell of theirs."""
-        if self.uplinks_told:
-            return
-        playing = [host for host in rack.hosts if host.playbacks]
+        playing = [host for host in rack.hosts if host.playbacks and not self.uplinks_told]
         shares = sorted(host.share for host in playing if host.share)
         # A gateway that plays on one host of the rack alone takes the word of the link itself.
         link = playing[0].link if len(playing) == 1 else None
         alone = link is not None and link.told(now) and link.used(now) < link.size
         if 2 * len(shares) >= len(playing) and len(shares) > (not alone):
-            middle = sorted(share for _, share in shares)[len(shares) // 2]
+            middle = median(share for _, share in shares)
             rack.inferred = True
             rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
 
@@ -623,25 +599,20 @@
         return min(1.0, host.share[1] * max(then, 0.0) / left) if left > 0 else 1.0
 
     def rise(self, now: int, host: Host, playing: list[Playback]) -> None:
-        means = [len(pb.rooms) / sum(1 / max(room, 1e-9) for room in pb.rooms) for pb in playing]
-        able = [
-            pb
-            for pb, mean in zip(playing, means, strict=True)
-            if pb.rung < pb.top and mean > pb.rate(pb.rung + 1)
-        ]
+        able = [pb for pb in playing if pb.rung < pb.top and harmonic_mean(pb.rooms) > pb.rate(pb.rung + 1)]
         if able:
             pb = max(able, key=lambda pb: pb.gain(pb.rung + 1))
             # Danger: every gateway that plays there sees the same room in the same tick.
             step = pb.rate(pb.rung + 1) - pb.rate(pb.rung)
             streams = host.streams[1] if now - host.streams[0] < QUIET else median(self.crowds or [0.0])
-            crowd = min(float(self.terms.gateways), max(1.0, streams / len(playing)))
+            crowd = max(1.0, streams / len(playing))
             behind = min(float(self.terms.gateways), crowd * len(host.rack.hosts))
+            crowd = min(float(self.terms.gateways), crowd)
             room = min((host.link.size - host.link.used(now)) / crowd, host.rack.free(now) / behind)
-            if self.chance() * step >= room:
-                return
-            if self.stale(now, host):
+            lucky = self.chance() * step < room
+            if lucky and self.stale(now, host):
                 self.ask(now, host)
-            elif host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET:
+            elif lucky and (host.link.told(now) or self.terms.gateways == 1 or now - self.began >= QUIET):
                 # Danger: a gateway that has just started sees its own part alone, and all of them would rise.
                 self.put(now, pb, pb.rung + 1)
                 host.stepped = now
@@ -675,7 +646,7 @@
     ("asking", "abandon"): ("over", Gateway.answer),
     ("trying", "flowing"): ("playing", None),
     ("trying", "failed"): ("held", Gateway.place),
-    ("trying", "abandon"): ("over", Gateway.give_up),
+    ("trying", "abandon"): ("over", Gateway.answer),
     ("playing", "failed"): ("over", Gateway.drop),
     ("over", "failed"): ("over", Gateway.drop),
     ("any", "over"): ("over", Gateway.drop),
