--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -6,12 +6,12 @@
 
 The design (docs/design.md) decides the ordinary path: `Gateway.tick` steps, `Gateway.place` sets up. Beside
 it stand these mechanisms, six at most:
-1. Corrected notes: a late share is read against what this gateway has put on or taken off the link since.
+1. Others' part: what other gateways do at the same time is estimated, in notes, rooms and steps alike.
 2. Setting aside: hosts that fail several times in a row get no set-ups until they have answered probes.
 3. Cold pace: a host that may have started lately gets a share of set-ups that is safe whatever others send.
 4. Further tries: a try that fails or stays out too long goes to the next holder, within terms and budget.
-5. Uplinks by inference: hosts of a rack that are short together tell of an uplink that nobody reports.
-6. Others' part: what gateways say they have on a link; where reports come, others do there as this one does.
+5. Uplinks by inference: hosts that are short though their links have room tell of an uplink.
+6. Asking first: a host that told nothing lately is probed before more is put there.
 """
 
 from __future__ import annotations
@@ -30,10 +30,8 @@
 WINDOW = 20  # room samples that a rise looks back on
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
-STALE = 3 * SECOND  # hosts note a short share each second; one not said again is over
-FRESH = 5 * SECOND  # a host that told nothing for so long is asked before a set-up goes there
-STRIKES = 2  # failures in a row that set a host aside
-PROOFS = 2  # probes it has to answer before it comes back
+FRESH = 5 * SECOND  # what a host told counts so long as news; hosts repeat a short share each second
+IN_A_ROW = 2  # failures that set a host aside, answers to probes that bring it back
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
 NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
@@ -74,7 +72,7 @@
 
     def __init__(self, size: float, gateway: Gateway) -> None:
         self.uplink = Pipe(size, gateway)
-        self.inferred = False
+        self.reports = False  # its uplink's use is reported, not inferred
         self.hosts: list[Host] = []
 
     def free(self, now: int) -> float:
@@ -84,7 +82,7 @@
         if self.uplink.asked is None or not self.uplink.told(now):
             return by_links
         # Danger: what was inferred from a shortage outlives it; it fades into what the links say.
-        faded = ((now - self.uplink.asked[0]) / QUIET) ** 2 if self.inferred else 0.0
+        faded = ((now - self.uplink.asked[0]) / QUIET) ** 2 if not self.reports else 0.0
         return (1 - faded) * (self.uplink.size - self.uplink.used(now)) + faded * by_links
 
 
@@ -97,7 +95,7 @@
         self.state, self.places = "trusted", 1
         self.risen = 0  # the latest moment at which it may have started, as far as is known
         self.fell = False  # it failed in a way that a restart explains, and has not served since
-        self.strikes = self.proofs = 0
+        self.in_a_row = 0  # failures, or, set aside, answers to probes
         self.probing = False
         self.askers: list[Playback] = []  # those who wait for its answer
         self.full = -QUIET  # when it last turned a setup try away
@@ -122,8 +120,7 @@
         self.host: Host | None = None
         self.tries: list[Host] = []
         self.maybe_ran: list[tuple[int, Host]] = []  # tries that may have run: when sent, where
-        self.sent_at = 0
-        self.asked = False  # a host was asked for it
+        self.sent_at, self.asked = 0, False  # asked: a host was, before the first try
         self.rooms: deque[float] = deque(maxlen=WINDOW)
         self.ladder = ladder
 
@@ -153,7 +150,6 @@
         self.requests: deque[int] = deque()
         self.further: deque[int] = deque()
         self.out: list[api.Action] = []
-        self.uplinks_told = False
 
     def chance(self) -> float:
         self.draws += 1
@@ -166,9 +162,8 @@
 
     def take(self, now: int, event: api.Event) -> list[api.Action]:
         self.out = []
-        reader = EVENTS.get(type(event))
-        if reader:
-            reader(self, now, event)
+        if type(event) in EVENTS:
+            EVENTS[type(event)](self, now, event)
         return self.out
 
     def step(self, now: int, thing: Playback | Host, happening: str | None) -> None:
@@ -226,12 +221,12 @@
         self.step(now, pb, "again")
 
     def handed_over(self, now: int, event: api.HandedOver) -> None:
-        host, request = self.hosts.get(event.host), event.request
+        request = event.request
         if request.pb in self.playbacks or request.plan >= len(self.terms.plans):
             return
-        if host is None:  # not listed, so nothing is sent there, but what it plays holds its seat
-            row = api.HostRow(event.host, 0, 0, 0, Standing.GONE, 1.0, 0)
-            host = self.hosts[event.host] = Host(row, self.racks[0])
+        # At a host that is not listed nothing is sent, but what it plays holds its seat.
+        row = api.HostRow(event.host, 0, 0, 0, Standing.GONE, 1.0, 0)
+        host = self.hosts.setdefault(event.host, Host(row, self.racks[0]))
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
         pb.state = "playing"
@@ -257,9 +252,7 @@
             self.loaded(now, host, event.load)
         if pb is None or host is None or pb.host is not host or event.attempt != len(pb.tries) - 1:
             return
-        if event.ending is Ending.FULL:
-            host.link.asked = (now, max(1.0, host.link.asked[1] if host.link.asked else 1.0))
-            host.full = now
+        host.full = now if event.ending is Ending.FULL else host.full
         if event.ending not in NEVER_RAN:
             pb.maybe_ran.append((pb.sent_at, host))
         self.unsettle(now, pb)
@@ -280,8 +273,7 @@
             host.link.asked = (now - lag, event.value)
             self.parts.append(event.value)
         elif event.news is News.UPLINK:
-            self.uplinks_told = True
-            host.rack.uplink.asked = (now - lag, event.value)
+            host.rack.uplink.asked, host.rack.reports = (now - lag, event.value), True
         elif pb.plan.floor <= event.value <= pb.top:
             self.account(0, pb, int(event.value))
 
@@ -312,7 +304,7 @@
             self.step(now, host, "bad")
         waiting, host.askers = host.askers, []
         for pb in waiting:
-            self.step(now, pb, "answered")
+            self.step(now, pb, "again")
 
     def loaded(self, now: int, host: Host, load: api.Load) -> None:
         sound = [value if value is not None and isfinite(value) and value >= 0 else None for value in load]
@@ -324,8 +316,7 @@
             host.link.asked = (now, link)
             self.parts.append(link)
         if uplink is not None:
-            self.uplinks_told = True
-            host.rack.uplink.asked = (now, uplink)
+            host.rack.uplink.asked, host.rack.reports = (now, uplink), True
 
     # The account.
 
@@ -446,7 +437,7 @@
     def rank(self, now: int, pb: Playback, host: Host) -> tuple[float, ...]:
         room = self.room(now, host)
         # Danger: a host out of places on an idle link looks roomier than any link that is short.
-        full = now - host.streams[0] < QUIET and host.streams[1] >= host.places
+        full = host.streams[1] >= host.places and now - host.streams[0] < QUIET
         full = full or now - host.full < TICK or host.probing
         # Rooms that differ by less than reports do are ties: the own zone first.
         near = room // (host.link.size / 8 or 1.0)
@@ -477,10 +468,9 @@
         self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
 
     def stale(self, now: int, host: Host) -> bool:
-        """Mechanism 6: a host that told nothing lately, and can be asked, is asked before more goes there."""
-        heard = max(host.link.asked[0] if host.link.asked else -QUIET, host.streams[0])
+        """Mechanism 6."""
         able = self.terms.allowed.probes and self.terms.lineup.tells and not host.probing
-        return able and now - heard >= FRESH
+        return able and now - max(host.link.asked[0] if host.link.asked else 0, host.streams[0]) >= FRESH
 
     def ask(self, now: int, host: Host) -> None:
         host.probing = True
@@ -516,35 +506,30 @@
 
     # Judging hosts.
 
-    def strike(self, now: int, host: Host) -> str | None:
-        host.strikes += 1
+    def count(self, now: int, host: Host) -> str | None:
+        host.in_a_row += 1
+        return "enough" if host.in_a_row >= IN_A_ROW else None
+
+    def recount(self, now: int, host: Host) -> None:
+        host.in_a_row = 0
         self.busy[host.id] = host
-        return "struck out" if host.strikes >= STRIKES else None
 
     def clear(self, now: int, host: Host) -> None:
-        host.strikes = 0
+        host.in_a_row = 0
         if host.fell:  # it may be a new process: nothing says since when
             host.fell, host.risen = False, now
 
-    def prove(self, now: int, host: Host) -> str | None:
-        host.proofs += 1
-        return "proven" if host.proofs >= PROOFS else None
-
-    def disprove(self, now: int, host: Host) -> None:
-        host.proofs = 0
-
     # Stepping what plays.
 
     def tick(self, now: int) -> None:
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
         for host in list(self.busy.values()):
             # Danger: once the last playback leaves a short host nothing says that the shortage is over.
-            if host.share and now - host.share[0] > STALE:
+            if host.share and now - host.share[0] > FRESH:
                 host.share = None
+            self.blame_uplink(now, host.rack)
             if not (host.playbacks or host.share or host.probing or host.state == "aside"):
                 del self.busy[host.id]
-        for rack in {id(host.rack): host.rack for host in self.busy.values()}.values():
-            self.blame_uplink(now, rack)
         for host in self.busy.values():
             if host.state == "aside" and not self.terms.allowed.probes:
                 self.step(now, host, "proof")
@@ -564,9 +549,8 @@
         """Dearest kB first; where less than a step is left to take, by chance."""
         # Danger: a link short by a tenth whose playbacks all drop, here or everywhere, is left half empty.
         wanted = host.link.own - need
-        for pb in sorted(playing, key=lambda pb: pb.gain(pb.rung) if pb.rung else 0.0):
-            if pb.rung == pb.plan.floor:
-                continue
+        able = [pb for pb in playing if pb.rung > pb.plan.floor]
+        for pb in sorted(able, key=lambda pb: pb.gain(pb.rung)):
             step = pb.rate(pb.rung) - pb.rate(pb.rung - 1)
             if need >= step or self.chance() < need / step:
                 self.put(now, pb, pb.rung - 1)
@@ -579,18 +563,17 @@
 
     def blame_uplink(self, now: int, rack: Rack) -> None:
         """Where nobody reports uplinks, hosts of one rack that are short together tell of theirs."""
-        playing = [host for host in rack.hosts if host.playbacks and not self.uplinks_told]
+        playing = [host for host in rack.hosts if host.playbacks and not rack.reports]
         shares = sorted(host.share for host in playing if host.share)
         # A gateway that plays on one host of the rack alone takes the word of the link itself.
         link = playing[0].link if len(playing) == 1 else None
         alone = link is not None and link.told(now) and link.used(now) < link.size
         if 2 * len(shares) >= len(playing) and len(shares) > (not alone):
             middle = median(share for _, share in shares)
-            rack.inferred = True
             rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
 
     def share(self, now: int, host: Host) -> float:
-        """Mechanism 1: the noted share as it would be with what this gateway has changed since then."""
+        """Mechanism 1: the noted share as it would be with what has changed since then."""
         if host.share is None:
             return 1.0
         start = host.share[0] - 2 * self.terms.lineup.note_lag
@@ -641,21 +624,19 @@
     ("held", "wait"): ("held", Gateway.look_again),
     ("held", "ask"): ("asking", Gateway.look_again),
     ("held", "abandon"): ("over", Gateway.answer),
-    ("asking", "answered"): ("held", Gateway.place),
     ("asking", "again"): ("held", Gateway.place),
     ("asking", "abandon"): ("over", Gateway.answer),
     ("trying", "flowing"): ("playing", None),
     ("trying", "failed"): ("held", Gateway.place),
     ("trying", "abandon"): ("over", Gateway.answer),
-    ("playing", "failed"): ("over", Gateway.drop),
-    ("over", "failed"): ("over", Gateway.drop),
+    ("any", "failed"): ("over", Gateway.drop),
     ("any", "over"): ("over", Gateway.drop),
     ("any", "left"): ("over", Gateway.drop),
     ("trusted", "good"): ("trusted", Gateway.clear),
-    ("trusted", "bad"): ("trusted", Gateway.strike),
-    ("trusted", "struck out"): ("aside", Gateway.disprove),
+    ("trusted", "bad"): ("trusted", Gateway.count),
+    ("trusted", "enough"): ("aside", Gateway.recount),
     ("aside", "good"): ("trusted", Gateway.clear),
-    ("aside", "proof"): ("aside", Gateway.prove),
-    ("aside", "bad"): ("aside", Gateway.disprove),
-    ("aside", "proven"): ("trusted", Gateway.clear),
+    ("aside", "proof"): ("aside", Gateway.count),
+    ("aside", "bad"): ("aside", Gateway.recount),
+    ("aside", "enough"): ("trusted", Gateway.clear),
 }
