--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,16 +15,11 @@
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT)
 PLAN = api.Plan(1.0, 800 * MS, Repeat.FREELY, "all", 5 * SECOND, 0, 3, 0, 1.0)
 TERMS = api.Terms(
-    gateways=1,
-    number=0,
-    zone=0,
-    beat=BEAT,
-    plans=(PLAN,),
-    ladder=api.Ladder((200.0, 400.0, 900.0, 1800.0), (0.2, 0.5, 0.75, 1.0)),
-    lineup=api.Lineup(4, 2, 8000.0, 24000.0, (30,), False, True, False, SECOND),
-    allowed=api.Allowed(True, False, True, 3, False, 0, False, 10 * SECOND),
-    rules=api.HouseRules(0.4, 12 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
-)
+    1, 0, 0, BEAT, (PLAN,), api.Ladder((200.0, 400.0, 900.0, 1800.0), (0.2, 0.5, 0.75, 1.0)),
+    api.Lineup(4, 2, 8000.0, 24000.0, (30,), False, True, False, SECOND),
+    api.Allowed(True, False, True, 3, False, 0, False, 10 * SECOND),
+    api.HouseRules(0.4, 12 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
+)  # fmt: skip
 
 
 def row(host: int, cell: int | None = None, standing: Standing = Standing.READY, started: int = 0) -> HostRow:
@@ -37,7 +32,7 @@
     def __init__(self, hosts: int = 4, **changes: object) -> None:
         self.terms = replace(TERMS, **changes)  # type: ignore[arg-type]
         self.now = 100 * SECOND
-        self.gateway = Gateway(self.terms, 7, self.now)
+        self.gateway = Gateway(self.terms, 7 + self.terms.number, self.now)
         self.gateway.begin(self.now)
         self.listed(*(row(h) for h in range(hosts)), scope=Scope.COMPLETE)
 
@@ -93,6 +88,7 @@
         self.taken: dict[int, list[int]] = {}
         self.bells: list[tuple[int, int, int]] = []
         self.gateways: dict[int, Gateway] = {}
+        self.probes: list[tuple[int, int]] = []
         self.next_pb = 1
         self.sent = self.finals = 0
         for number in range(terms.gateways):
@@ -116,11 +112,8 @@
         self.hand(number, Listed(Scope.CACHED, rows))
 
     def hand_over(self, number: int) -> None:
-        plan, title, host = (
-            self.dice.randrange(len(self.terms.plans)),
-            self.next_pb % 3,
-            self.dice.randrange(8),
-        )
+        plan, host = self.dice.randrange(len(self.terms.plans)), self.dice.randrange(8)
+        title = self.next_pb % 3
         held = [k for k in self.asked if k[0] == number and self.asked[k][0][1:6:4] == (plan, title)]
         if not self.terms.plans[plan].seats or len(held) < self.terms.plans[plan].seats:
             request = Request(self.next_pb, plan, 3.0, 0, 4, title, 1, SECOND)
@@ -155,8 +148,10 @@
                     one.due = min(one.due, self.now + self.dice.randint(0, 40) * MS)
                 case api.SetAlarm(after, token):
                     self.bells.append((self.now + max(after, BEAT), number, token))
+                case api.Probe(host):
+                    self.probes.append((number, host))
                 case _:
-                    assert isinstance(action, (api.Probe, api.KeepInformed, api.ToPeers))
+                    assert isinstance(action, api.KeepInformed)
 
     def answer(self, number: int, pb: int) -> None:
         assert (number, pb) not in self.answered, "rule 1: answered twice"
@@ -207,6 +202,12 @@
         for bell in sorted(bell for bell in self.bells if bell[0] <= self.now):
             self.bells.remove(bell)
             self.hand(bell[1], api.Bell(bell[2]))
+        asked, self.probes = self.probes, []
+        for number, host in asked:
+            ending = dice.choice((Ending.SERVED, Ending.SERVED, Ending.TIMEOUT, Ending.NO_CONNECTION))
+            if ending is not Ending.SERVED:
+                self.knows[number, host] = self.started[host]
+            self.hand(number, api.Probed(host, ending, MS, api.Load(3.0, 0.4)))
         if dice.random() < 0.25:
             self.arrive(dice.randrange(self.terms.gateways))
         for key in list(self.tries):
@@ -221,11 +222,9 @@
     def arrive(self, number: int) -> None:
         plan = self.dice.randrange(len(self.terms.plans))
         patience = self.dice.choice((5 * MS, 300 * MS, 3 * SECOND))
-        floor, copies = self.terms.plans[plan].floor, self.dice.choice((0, 1, 3, 4))
-        home, title = float(self.dice.randrange(4)), self.dice.randrange(3)
-        request = Request(
-            self.next_pb, plan, self.dice.uniform(floor, 3), int(home), copies, title, 1, patience
-        )
+        top, copies = self.dice.uniform(self.terms.plans[plan].floor, 3), self.dice.choice((0, 1, 3, 4))
+        home, title = self.dice.randrange(4), self.dice.randrange(3)
+        request = Request(self.next_pb, plan, top, home, copies, title, 1, patience)
         self.next_pb += 1
         self.asked[number, request.pb] = request, self.now + patience
         self.tries[number, request.pb] = []
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import replace
 
 import pytest
@@ -9,7 +10,7 @@
 
 from burlmast import api
 from burlmast.api import Ending, Load, News, Repeat, Scope, Standing
-from burlmast.logic import QUIET, TICK
+from burlmast.logic import PB_TOKEN, QUIET, TICK
 
 NAN = float("nan")
 
@@ -33,12 +34,6 @@
     assert not of(actions, api.SetRung)
 
 
-def test_gateways_share_the_room_that_all_of_them_see() -> None:
-    lineup = replace(TERMS.lineup, link_per_weight=2000.0)
-    rungs = [of(Desk(gateways=n, lineup=lineup).ask(1), api.SetRung) for n in (1, 3)]
-    assert rungs[0] == [api.SetRung(1, 3)] and rungs[1] == [api.SetRung(1, 1)]
-
-
 def test_short_link_drops_at_once_but_no_further_than_the_shortage() -> None:
     desk = Desk(hosts=1)
     for pb in range(6):
@@ -131,12 +126,6 @@
     assert 0 < sum(sent) <= 2 * TERMS.rules.fall_multiple * pace
 
 
-def test_nothing_goes_to_hosts_that_drain_or_are_gone() -> None:
-    desk = Desk(hosts=2)
-    desk.listed(row(0, standing=Standing.DRAINING), row(1, standing=Standing.GONE))
-    assert of(desk.ask(1), api.Reject)
-
-
 def test_strays_change_nothing() -> None:
     desk = Desk()
     host = of(desk.ask(1), api.SetUp)[0].host
@@ -197,8 +186,76 @@
     assert of(desk.ask(11), api.SetRung)[0].rung > 0
 
 
-def test_a_playback_handed_over_at_an_unlisted_host_breaks_nothing() -> None:
-    desk = Desk(hosts=1, gateways=2)
+def test_nothing_goes_to_hosts_that_drain_are_gone_or_were_never_listed() -> None:
+    desk = Desk(hosts=2, gateways=2)
+    desk.listed(row(0, standing=Standing.DRAINING), row(1, standing=Standing.GONE))
     desk.play(1, 99)
     desk.tick()
-    assert not [a for a in desk.ask(2) if isinstance(a, api.SetUp) and a.host == 99]
+    assert of(desk.ask(2), api.Reject)
+
+
+def test_many_gateways_together_drop_and_rise_by_what_is_short_or_free() -> None:
+    dropped = risen = 0
+    wide = replace(TERMS.lineup, link_per_weight=36e3, uplink=80e3)
+    for number in range(100):
+        desk = Desk(hosts=1, gateways=100, number=number)
+        desk.play(1, 0, rung=2)
+        desk.take(api.Note(1, 0, 0, News.SHARE, 0.9), after=2 * SECOND)
+        dropped += len(of(desk.tick(), api.SetRung))
+        desk = Desk(hosts=1, gateways=100, number=number, lineup=wide)
+        desk.play(1, 0, rung=2)
+        desk.take(api.Probed(0, Ending.SERVED, MS, Load(24.0, 0.9)), after=2 * SECOND)
+        risen += len(of(desk.tick(), api.SetRung))
+    assert 5 <= dropped <= 40 and 5 <= risen <= 40
+
+
+def test_first_rung_and_strangers_at_hundreds_of_gateways() -> None:
+    lineup = replace(TERMS.lineup, link_per_weight=2000.0)
+    rungs = [of(Desk(gateways=n, lineup=lineup).ask(1), api.SetRung)[0].rung for n in (1, 3)]
+    assert rungs == [3, 1]  # a few gateways share the room that all of them see
+    desk = Desk(hosts=8, gateways=300)
+    desk.now += 100 * SECOND
+    assert of(desk.ask(1), api.SetRung)
+    for host in range(2):
+        desk.play(10 + host, host)
+        desk.take(api.Note(10 + host, 0, host, News.LINK, (0.98, 0.2)[host]))
+    desk.gateway.parts.extend([0.98] * 20)
+    assert of(desk.ask(2), api.SetUp)[0].host == 1  # not one of the strangers, which tell nothing
+
+
+def test_host_that_told_nothing_is_asked_and_one_that_stays_silent_is_passed_over() -> None:
+    desk = Desk(hosts=3, lineup=replace(TERMS.lineup, tells=True))
+    first = of(desk.ask(1), api.Probe)[0].host
+    assert of(desk.take(api.Probed(first, Ending.SERVED, MS, Load(3.0, 0.1))), api.SetUp)[0].host == first
+    silent = of(desk.ask(2), api.Probe)[0].host
+    token = api.Bell(PB_TOKEN + 2)
+    assert of(desk.take(token, after=100 * MS), api.SetUp)[0].host != silent
+    assert not of(desk.take(api.Probed(silent, Ending.TIMEOUT, MS, Load())), api.SetUp)
+
+
+def test_every_gateway_of_many_gets_its_turn_at_a_cold_host() -> None:
+    desks = [Desk(hosts=0, gateways=20, number=number) for number in range(20)]
+    sent = [0] * 20
+    for desk in desks:
+        desk.listed(row(0), scope=Scope.CACHED)
+        desk.play(1, 0)  # a single one handed over proves no age
+        for beat in range(40):
+            desk.now += SECOND // 4
+            sent[desk.terms.number] += len(of(desk.ask(10 + beat), api.SetUp))
+    assert sum(sent) >= 15 and max(sent) <= 2
+
+
+def test_work_does_not_grow_with_gateways_and_hosts() -> None:
+    def calls(hosts: int, gateways: int) -> int:
+        desk = Desk(hosts=0, gateways=gateways, lineup=replace(TERMS.lineup, cells=hosts, racks=hosts // 4))
+        desk.listed(*(row(host, cell=host) for host in range(hosts)), scope=Scope.COMPLETE)
+        seen: list[object] = []
+        sys.setprofile(lambda *_: seen.append(None))
+        for pb in range(8):
+            desk.ask(pb)
+            desk.take(api.FromPeer(0, b"x"))
+            desk.tick(after=TICK)
+        sys.setprofile(None)
+        return len(seen)
+
+    assert calls(400, 300) < 1.3 * calls(20, 3)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -36,7 +36,9 @@
     allowed = replace(
         TERMS.allowed, probes=dice.random() < 0.5, call_off=dice.random() < 0.7, tries=dice.choice((1, 3))
     )
-    return replace(TERMS, gateways=dice.choice((1, 2, 3, 4)), plans=plans, rules=rules, allowed=allowed)
+    lineup = replace(TERMS.lineup, tells=dice.random() < 0.5)
+    gateways = dice.choice((1, 2, 3, 4, 12))
+    return replace(TERMS, gateways=gateways, plans=plans, rules=rules, allowed=allowed, lineup=lineup)
 
 
 @pytest.mark.parametrize("seed", range(24))
