--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -146,8 +146,7 @@
     assert desk.take(api.Arrived(api.Request(1, 0, 3.0, 0, 4, 1, 1, SECOND))) == []
     desk.take(api.Flowing(1, 0, host, MS))
     assert desk.take(api.Flowing(1, 0, host, MS)) == []
-    assert desk.end(1, 0, host, Ending.SERVED, final=True) == []
-    assert desk.end(1, 0, host, Ending.SERVED, final=True) == []
+    assert [desk.end(1, 0, host, Ending.SERVED, final=True) for _ in range(2)] == [[], []]
 
 
 def test_no_rise_on_a_link_of_which_only_the_own_part_is_known() -> None:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -69,12 +69,8 @@
 
 def test_malformed_frames_end_it_with_one_plain_line() -> None:
     whole = batch(1, 5e4, attach(SETTINGS))
-    for bad in (
-        whole[:-5],
-        whole[:9],
-        batch(1, 5e4, b"\xee\x03\x00"),
-        batch(1, 5e4, struct.pack("<BH", 7, 3)),
-    ):
+    short = batch(1, 5e4, struct.pack("<BH", 7, 3))
+    for bad in (whole[:-5], whole[:9], batch(1, 5e4, b"\xee\x03\x00"), short):
         done = run(bad)
         assert done.returncode == 1 and done.stderr.count(b"\n") == 1 and not done.stdout
 
