A surge is seen by the requests of the last span

Cause: at hundreds of gateways twenty requests span minutes, so a surge did not show in the own rate and set-ups went on at middle rungs.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -324,7 +324,9 @@
         """How many gateways, this one too, do in such a span what this one does."""
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
         since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
-        requests = len(self.arrivals) * span / max(1, since)
+        # Danger: when everybody comes at once, a rate over the last twenty requests is minutes old.
+        lately = sum(1 for at, _ in self.arrivals if now - at < span)
+        requests = max(len(self.arrivals) * span / max(1, since), lately - 2)
         holding = sum(part for _, part in self.arrivals) / max(1, len(self.arrivals)) * self.terms.gateways
         return 1 + min((crowd - 1) * min(1.0, requests), requests * holding)
 
