--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -378,10 +378,10 @@
         if now - self.began < span:
             return False
         share, rest = divmod(int(budget), self.terms.gateways) if budget >= 1 else (0, 0)
-        # What equal shares leave goes round in turns, a set-up each: open for an eighth of a span, and so far
-        # apart that a span touches no more of them than are left.
-        turn, into = divmod(now + host.id % 8 * (span // 8), 9 * span // (8 * max(1, rest)))
-        mine = rest and into < span // 8 and (self.terms.number - turn - host.id) % self.terms.gateways == 0
+        # What equal shares leave goes round in turns, a set-up each, so short that a span touches no more of
+        # them than are left; where only one is, a whole span passes before the next.
+        turn, into = divmod(now // (span // 4), 5) if rest < 2 else (now // (span // (rest - 1)), 0)
+        mine = rest and not into and (self.terms.number - turn - host.id) % self.terms.gateways == 0
         return sum(1 for at in host.sent if now - at < span) < share + bool(mine)
 
     def may_try(self, now: int, pb: Playback) -> bool:
