--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -278,9 +278,8 @@
             self.account(0, pb, int(event.value))
 
     def left(self, now: int, event: api.ViewerLeft) -> None:
-        pb = self.playbacks.get(event.pb)
-        if pb:
-            self.step(now, pb, "left")
+        if event.pb in self.playbacks:
+            self.step(now, self.playbacks[event.pb], "left")
 
     def rung_bell(self, now: int, event: api.Bell) -> None:
         if event.token == TICK_TOKEN:
@@ -325,8 +324,8 @@
         crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
         since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
         # Danger: when everybody comes at once, a rate over the last twenty requests is minutes old.
-        lately = sum(1 for at, _ in self.arrivals if now - at < span)
-        requests = max(len(self.arrivals) * span / max(1, since), lately - 2)
+        lately = sum(1 for at, _ in self.arrivals if now - at < span) - 2
+        requests = max(lately, len(self.arrivals) * span / max(1, since))
         holding = sum(part for _, part in self.arrivals) / max(1, len(self.arrivals)) * self.terms.gateways
         return 1 + min((crowd - 1) * min(1.0, requests), requests * holding)
 
@@ -425,9 +424,7 @@
         if not paced:
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if able and now < pb.arrived + pb.plan.startup_target else "abandon"
-        (*_, room, _), host = max(
-            ((self.rank(now, pb, host), host) for host in paced), key=lambda one: one[0]
-        )
+        (*_, room, _), _, host = max((self.rank(now, pb, host), host.id, host) for host in paced)
         if not pb.tries and not pb.asked and self.stale(now, host):
             pb.asked = True
             host.askers.append(pb)
@@ -472,7 +469,7 @@
     def stale(self, now: int, host: Host) -> bool:
         """Mechanism 6."""
         able = self.terms.allowed.probes and self.terms.lineup.tells and not host.probing
-        return able and now - max(host.link.asked[0] if host.link.asked else 0, host.streams[0]) >= FRESH
+        return able and now - max(host.link.asked[0] if host.link.asked else -QUIET, host.streams[0]) >= FRESH
 
     def ask(self, now: int, host: Host) -> None:
         host.probing = True
@@ -527,8 +524,7 @@
         self.out.append(api.SetAlarm(TICK, TICK_TOKEN))
         for host in list(self.busy.values()):
             # Danger: once the last playback leaves a short host nothing says that the shortage is over.
-            if host.share and now - host.share[0] > FRESH:
-                host.share = None
+            host.share = host.share if host.share and now - host.share[0] <= FRESH else None
             self.blame_uplink(now, host.rack)
             if not (host.playbacks or host.share or host.probing or host.state == "aside"):
                 del self.busy[host.id]
@@ -540,8 +536,7 @@
             playing = [pb for pb in host.playbacks.values() if pb.state == "playing"]
             room, share = self.room(now, host), self.share(now, host)
             for pb in playing:
-                rate = pb.rate(pb.rung)
-                pb.rooms.append(share * rate if host.share else rate + max(0.0, room))
+                pb.rooms.append(pb.rate(pb.rung) * share if host.share else pb.rate(pb.rung) + max(0.0, room))
             if host.share and share < SHORT:
                 self.drop_some(now, host, playing, (1 - share) * host.link.own)
             elif playing and not host.share and now - host.stepped >= QUIET:
@@ -568,8 +563,10 @@
         playing = [host for host in rack.hosts if host.playbacks and not rack.reports]
         shares = sorted(host.share for host in playing if host.share)
         # A gateway that plays on one host of the rack alone takes the word of the link itself.
-        link = playing[0].link if len(playing) == 1 else None
-        alone = link is not None and link.told(now) and link.used(now) < link.size
+        links = [
+            host.link for host in playing if host.link.told(now) and host.link.used(now) < host.link.size
+        ]
+        alone = len(playing) == len(links) == 1
         if 2 * len(shares) >= len(playing) and len(shares) > (not alone):
             middle = median(share for _, share in shares)
             rack.uplink.asked = (shares[-1][0] - self.terms.lineup.note_lag, 1 / max(middle, 0.1))
