--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -112,7 +112,6 @@
     """What a gateway may do here."""
 
     probes: bool
-    messages: bool
     call_off: bool
     tries: int
     advice: bool
@@ -319,12 +318,6 @@
     host: int
 
 
-class ToPeers(NamedTuple):
-    """Bytes for all other gateways."""
-
-    data: bytes
-
-
 class KeepInformed(NamedTuple):
     """Ask for changes of the list from now on."""
 
@@ -335,6 +328,4 @@
     text: str
 
 
-Action = (
-    SetUp | SetRung | Reject | Abort | CallOff | Move | SetAlarm | Probe | ToPeers | KeepInformed | Remark
-)
+Action = SetUp | SetRung | Reject | Abort | CallOff | Move | SetAlarm | Probe | KeepInformed | Remark
--- a/burlmast/wirehost/codec.py
+++ b/burlmast/wirehost/codec.py
@@ -269,7 +269,6 @@
     api.CallOff: (4, lambda a: struct.pack("<IB", a.pb, a.attempt)),
     api.SetAlarm: (5, lambda a: struct.pack("<dQ", a.after / MS, a.token)),
     api.Probe: (6, lambda a: struct.pack("<I", a.host)),
-    api.ToPeers: (8, lambda a: struct.pack("<IH", 0xFFFFFFFF, len(a.data)) + a.data),
     api.Remark: (9, lambda a: text(a.text)),
     api.KeepInformed: (11, lambda a: b"\x01"),
     api.SetRung: (13, lambda a: struct.pack("<IB", a.pb, a.rung)),
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -119,7 +119,6 @@
         ),
         allowed=api.Allowed(
             probes=allowed.get("probes", bool),
-            messages=allowed.get("mayTell", bool),
             call_off=allowed.get("cancel", bool),
             tries=allowed.get("maxAttempts", int),
             advice=allowed.get("retryAfter", bool, False),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,7 +17,7 @@
 TERMS = api.Terms(
     1, 0, 0, BEAT, (PLAN,), api.Ladder((200.0, 400.0, 900.0, 1800.0), (0.2, 0.5, 0.75, 1.0)),
     api.Lineup(4, 2, 8000.0, 24000.0, (30,), False, True, False, SECOND),
-    api.Allowed(True, False, True, 3, False, 0, False, 10 * SECOND),
+    api.Allowed(True, True, 3, False, 0, False, 10 * SECOND),
     api.HouseRules(0.4, 12 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
 )  # fmt: skip
 
