--- /dev/null
+++ b/burlmast/cli.py
@@ -0,0 +1,285 @@
+"""The command line: parse, call, print, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import structlog
+
+from burlmast.settings.read import BadSettings, read
+from burlmast.settings.sheets import Deployment
+
+SAMPLE = "deploy/samples/training.jsonnet"
+
+
+def say(value: object) -> None:
+    """One JSON line."""
+    click.echo(msgspec.json.encode(value).decode("utf-8"))
+    sys.stdout.flush()
+
+
+def settings(file: str) -> Deployment:
+    """Read settings, or end with 2 and one line."""
+    try:
+        return read(file)
+    except BadSettings as why:
+        click.echo(str(why), err=True)
+        raise SystemExit(2) from None
+
+
+def log_to_stderr(form: str, level: str) -> None:
+    """Send log lines to standard error, as JSON lines or for a console."""
+    last: Any = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer()
+    steps: list[Any] = [
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+    ]
+    if form == "json":
+        steps.append(structlog.processors.dict_tracebacks)
+    structlog.configure(
+        processors=[*steps, last],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelNamesMapping()[level.upper()]),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+class Place(click.ParamType[tuple[str, int]]):
+    """`name:port`, port 0 for any that is free."""
+
+    name = "name:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, int]:
+        if isinstance(value, tuple):
+            return value
+        name, _, port = str(value).removeprefix("http://").rstrip("/").rpartition(":")
+        if not name or not port.isdecimal() or int(port) > 65535:
+            self.fail(f"{value!r} is not name:port", param, ctx)
+        return name, int(port)
+
+
+PLACE = Place()
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--log", "form", type=click.Choice(["json", "console"]), default="json", show_default=True)
+@click.option(
+    "--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info", show_default=True
+)
+def main(form: str, level: str) -> None:
+    """A session front that places and shapes video playbacks on streaming servers."""
+    log_to_stderr(form, level)
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+def check(file: str) -> None:
+    """Print the settings in FILE as they are read; 2 where something is wrong."""
+    found = msgspec.json.format(msgspec.json.encode(settings(file)), indent=2)
+    click.echo(found.decode("utf-8"))
+
+
+@main.command()
+@click.option("--settings", "file", type=click.Path(), required=True)
+@click.option(
+    "--number", type=click.IntRange(0), default=0, show_default=True, help="This gateway among all."
+)
+@click.option("--zone", type=click.IntRange(0), default=None, help="Its zone's place in the settings.")
+@click.option("--listen", type=PLACE, default="127.0.0.1:0", show_default=True, help="For viewers.")
+@click.option(
+    "--operators", type=PLACE, default="127.0.0.1:0", show_default=True, help="For metrics and health."
+)
+@click.option("--list", "list_address", type=PLACE, default=None, help="The list service.")
+@click.option("--seed", type=int, default=None, help="Fixes the gateway's chance, for trials.")
+@click.option("--plant", type=click.IntRange(1, 6), default=None, hidden=True)
+def edge(
+    file: str,
+    number: int,
+    zone: int | None,
+    listen: tuple[str, int],
+    operators: tuple[str, int],
+    list_address: tuple[str, int] | None,
+    seed: int | None,
+    plant: int | None,
+) -> None:
+    """Run one gateway until SIGTERM."""
+    from burlmast.edge.program import run
+    from burlmast.logic import Gateway
+    from burlmast.world.plants import plant as planted
+
+    deployment = settings(file)
+    if number >= deployment.gateways:
+        raise click.UsageError(f"--number must be under the {deployment.gateways} gateways of the settings")
+    maker = planted(plant, Gateway) if plant else Gateway
+    try:
+        code = asyncio.run(run(deployment, number, list_address, listen, operators, say, maker, zone, seed))
+    except OSError as why:
+        click.echo(f"edge: cannot listen: {why}", err=True)
+        raise SystemExit(1) from None
+    raise SystemExit(code)
+
+
+async def until_interrupted() -> None:
+    """Return at SIGINT or SIGTERM."""
+    done = asyncio.Event()
+    for one in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(one, done.set)
+    await done.wait()
+
+
+@main.command()
+@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option(
+    "--gateways", type=click.IntRange(1, 64), default=None, help="In place of the settings' number."
+)
+@click.option("--hosts", type=click.IntRange(1, 1000), default=None, help="In place of the settings' number.")
+@click.option(
+    "--logs", type=click.Path(file_okay=False), default=None, help="A folder for the gateways' logs."
+)
+def up(file: str, gateways: int | None, hosts: int | None, logs: str | None) -> None:
+    """Start list, stand-in hosts and gateways on loopback; one JSON line says where. Ends when
+    interrupted."""
+    raise SystemExit(asyncio.run(_up(file, gateways, hosts, logs)))
+
+
+async def _up(file: str, gateways: int | None, hosts: int | None, logs: str | None) -> int:
+    from burlmast.badday.gateways import NotStarted
+    from burlmast.badday.town import Town
+
+    deployment, written = adapted(file, gateways, hosts)
+    folder = Path(logs) if logs else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+    town = Town(deployment, written, deployment.gateways, logs=folder)
+    try:
+        await town.start()
+        say(
+            {
+                "ready": True,
+                "list": f"http://127.0.0.1:{town.list_port}",
+                "hosts": [f"http://{host.address}" for host in town.fleet.hosts.values()],
+                "gateways": [one.url for one in town.gateways],
+                "operators": [one.operators for one in town.gateways],
+                "titles": [title.name for title in deployment.titles],
+                "plans": [plan.name for plan in deployment.plans],
+            }
+        )
+        await until_interrupted()
+        return 0
+    except (OSError, NotStarted) as why:
+        click.echo(f"up: {why}", err=True)
+        return 1
+    finally:
+        await town.close()
+        if written != file:
+            Path(written).unlink(missing_ok=True)
+
+
+def adapted(file: str, gateways: int | None, hosts: int | None) -> tuple[Deployment, str]:
+    """The deployment with other numbers, and a file that the gateways can read it from."""
+    import tempfile
+
+    deployment = settings(file)
+    if gateways is None and hosts is None:
+        return deployment, file
+    stand_ins = msgspec.structs.replace(deployment.stand_ins, hosts=hosts or deployment.stand_ins.hosts)
+    deployment = msgspec.structs.replace(
+        deployment, gateways=gateways or deployment.gateways, stand_ins=stand_ins
+    )
+    with tempfile.NamedTemporaryFile("wb", prefix="burlmast-", suffix=".json", delete=False) as out:
+        out.write(msgspec.json.encode(deployment))
+    return deployment, out.name
+
+
+@main.command("list")
+@click.option("--listen", type=PLACE, default="127.0.0.1:0", show_default=True)
+@click.option(
+    "--delay",
+    type=click.FloatRange(0),
+    default=0.3,
+    show_default=True,
+    help="Seconds until a change is told.",
+)
+@click.option(
+    "--rows", type=click.Path(exists=True, dir_okay=False), default=None, help="JSON rows to start with."
+)
+def list_service(listen: tuple[str, int], delay: float, rows: str | None) -> None:
+    """Run a stand-in list service; rows are changed by POST /v1/rows."""
+    raise SystemExit(asyncio.run(_list(listen, delay, rows)))
+
+
+async def _list(listen: tuple[str, int], delay: float, rows: str | None) -> int:
+    from burlmast.standin.listservice import ListService
+
+    service = ListService(delay=delay)
+    if rows:
+        try:
+            service.set_all(msgspec.json.decode(Path(rows).read_bytes(), type=list[dict[str, object]]))
+        except (msgspec.MsgspecError, KeyError, ValueError) as why:
+            click.echo(f"list: {rows}: not rows: {why}", err=True)
+            return 2
+    port = await service.start(listen[1])
+    say({"ready": True, "list": f"http://127.0.0.1:{port}"})
+    await until_interrupted()
+    service.close()
+    return 0
+
+
+@main.command()
+@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option("--count", type=click.IntRange(1, 1000), default=None, help="In place of the settings' number.")
+@click.option("--list", "list_address", type=PLACE, default=None, help="A list service to tell of them.")
+def host(file: str, count: int | None, list_address: tuple[str, int] | None) -> None:
+    """Run stand-in media hosts in one process; their racks share uplinks."""
+    raise SystemExit(asyncio.run(_host(file, count, list_address)))
+
+
+async def _host(file: str, count: int | None, list_address: tuple[str, int] | None) -> int:
+    from burlmast.http1.client import Pool, Whole
+    from burlmast.standin.mediahost import Fleet
+
+    deployment = settings(file)
+    if count:
+        stand_ins = msgspec.structs.replace(deployment.stand_ins, hosts=count)
+        deployment = msgspec.structs.replace(deployment, stand_ins=stand_ins)
+    fleet = Fleet(deployment)
+    await fleet.start()
+    rows = list(fleet.rows.values())
+    if list_address is not None:
+        pool = Pool()
+        try:
+            body = msgspec.json.encode(rows)
+            await Whole.of(pool, list_address, b"POST", b"/v1/rows", body=body)
+        except (ConnectionError, TimeoutError) as why:
+            click.echo(f"host: the list at {list_address[0]}:{list_address[1]}: {why}", err=True)
+            return 1
+        finally:
+            pool.close()
+    say({"ready": True, "hosts": [f"http://{row['address']}" for row in rows], "rows": rows})
+    await until_interrupted()
+    fleet.close()
+    return 0
+
+
+@main.command()
+@click.argument("url", type=PLACE)
+@click.argument("title")
+@click.option("--plan", default=None, help="The plan's name; the sample's first by default.")
+@click.option(
+    "--lasts", type=click.FloatRange(0.1), default=10.0, show_default=True, help="Seconds to watch."
+)
+@click.option("--top", type=click.IntRange(0), default=255, help="The highest rung to use.")
+def watch(url: tuple[str, int], title: str, plan: str | None, lasts: float, top: int) -> None:
+    """Play one playback of TITLE at the gateway at URL and show rung, buffer and host."""
+    from burlmast.standin.watch import watch as play
+
+    raise SystemExit(asyncio.run(play(url, title, plan or "explainer", lasts, top, click.echo)))
--- /dev/null
+++ b/burlmast/edge/door.py
@@ -0,0 +1,247 @@
+"""The viewers' side, version 1: one check of form, then the driver, then one answer."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+from math import ceil, isfinite
+
+import msgspec
+
+from burlmast.edge.driver import Driver, Final, Playback, Wanted
+from burlmast.edge.limits import Doorkeeper
+from burlmast.edge.words import ASK
+from burlmast.http1.messages import Headers
+from burlmast.http1.server import Exchange
+from burlmast.settings.read import nanoseconds
+from burlmast.settings.sheets import Deployment
+
+SECOND = 1_000_000_000
+PLAYLIST = ((b"content-type", b"application/vnd.apple.mpegurl"), (b"cache-control", b"no-cache"))
+NAME_LIMIT = 256
+
+
+class ViewersGate:
+    """The doorkeeper as the server asks it."""
+
+    def __init__(self, doorkeeper: Doorkeeper) -> None:
+        self._doorkeeper = doorkeeper
+        advice = max(1, ceil(doorkeeper.doorway.advice_ms / 1000))
+        body = b'{"error":"too many connections; come again shortly"}\n'
+        self._refusal = (
+            b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\n"
+            b"retry-after: %d\r\nconnection: close\r\ncontent-length: %d\r\n\r\n%b"
+        ) % (advice, len(body), body)
+
+    def opened(self, address: str) -> bytes | None:
+        return None if self._doorkeeper.opened(address) else self._refusal
+
+    def closed(self, address: str) -> None:
+        self._doorkeeper.closed(address)
+
+    def head_began(self, address: str) -> bool:
+        return self._doorkeeper.head_began(address)
+
+    def head_ended(self, address: str) -> None:
+        self._doorkeeper.head_ended(address)
+
+    def buffered(self, address: str, change: int) -> bool:
+        return self._doorkeeper.buffered(address, change)
+
+
+class Visit:
+    """A viewer's open request: where its answer goes, and what it takes of this program until it is over."""
+
+    __slots__ = ("address", "exchange", "playback")
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange, self.address = exchange, exchange.address
+        self.playback: Playback | None = None
+
+
+class Door:
+    """Takes viewers' requests."""
+
+    BODY_LIMIT = 8192
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        doorkeeper: Doorkeeper,
+        now: Callable[[], int],
+        after: Callable[[], None],
+    ) -> None:
+        """`after` is called whenever the driver has been told something."""
+        self._doorkeeper, self._now, self._after = doorkeeper, now, after
+        self._titles = {
+            title.name: (place + 1, title) for place, title in enumerate(deployment.titles)
+        }  # 0 is no title
+        self._plans = {plan.name: (place, plan) for place, plan in enumerate(deployment.plans)}
+        self._top = len(deployment.ladder.rates_kb) - 1
+        self._addresses: dict[str, str] = {}  # what counts as served, by public id
+        self.driver: Driver | None = None
+        self.closing = False
+
+    def application(self, exchange: Exchange) -> None:
+        """Route one request."""
+        path = exchange.target.split(b"?", 1)[0]
+        parts = path.split(b"/")
+        if parts[:3] != [b"", b"v1", b"playbacks"]:
+            version = len(parts) > 1 and parts[1][:1] == b"v" and parts[1] != b"v1"
+            exchange.refuse(404, "only version 1 is spoken here" if version else "there is nothing here")
+        elif len(parts) == 3:
+            if self._allow(exchange, (b"POST",)):
+                self._post(exchange)
+        elif len(parts) == 4 and parts[3]:
+            if self._allow(exchange, (b"DELETE",)):
+                self._delete(exchange, parts[3])
+        elif len(parts) == 5 and parts[4] == b"index.m3u8":
+            if self._allow(exchange, (b"GET", b"HEAD")):
+                self._playlist(exchange, parts[3])
+        else:
+            exchange.refuse(404, "there is nothing here")
+
+    def _allow(self, exchange: Exchange, methods: tuple[bytes, ...]) -> bool:
+        if exchange.method in methods:
+            return True
+        allowed = b", ".join(methods)
+        exchange.refuse(405, f"use {allowed.decode('ascii')} here", ((b"allow", allowed),))
+        return False
+
+    def _post(self, exchange: Exchange) -> None:
+        if exchange.header(b"content-length") is None and exchange.header(b"transfer-encoding") is None:
+            exchange.refuse(411, "a body with its length is needed")
+            return
+        kind = (exchange.header(b"content-type") or b"").split(b";")[0].strip().lower()
+        if kind != b"application/json":
+            exchange.refuse(415, "the body must be application/json")
+            return
+        exchange.collect(self.BODY_LIMIT, lambda body: self._asked(exchange, body))
+
+    def _asked(self, exchange: Exchange, body: bytes) -> None:
+        try:
+            wanted = self._read(body)
+        except BadAsk as why:
+            exchange.refuse(why.status, str(why))
+            return
+        driver = self.driver
+        if driver is None or driver.failed or self.closing:
+            exchange.keep_alive = False
+            exchange.refuse(503, "this gateway is going; ask another", self.advice(SECOND))
+            return
+        if not self._doorkeeper.hold(exchange.address):
+            advice = nanoseconds(self._doorkeeper.doorway.advice_ms)
+            exchange.refuse(503, "too many requests are held; come again shortly", self.advice(advice))
+            return
+        visit = Visit(exchange)
+        exchange.on_gone = lambda: self._left(visit)
+        visit.playback = driver.arrive(self._now(), wanted, visit)
+        self._after()
+
+    def _read(self, body: bytes) -> Wanted:
+        try:
+            ask = ASK.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as why:
+            raise BadAsk(400, f"the body is not a request: {why}") from None
+        except RecursionError:
+            raise BadAsk(400, "the body is not a request: it is nested too deeply") from None
+        if ask.plan not in self._plans:
+            raise BadAsk(400, "the plan is not known")
+        if ask.title not in self._titles:
+            raise BadAsk(404, "the title is not known")
+        if not 0 < len(ask.viewer) <= NAME_LIMIT:
+            raise BadAsk(400, f"viewer must be 1 to {NAME_LIMIT} characters")
+        if not isfinite(ask.lasts) or not 0 <= ask.lasts <= 1e6:
+            raise BadAsk(400, "lasts must be 0 to 1000000 seconds")
+        if ask.top < 0:
+            raise BadAsk(400, "top must be a rung")
+        plan, terms = self._plans[ask.plan]
+        if ask.top < terms.floor:
+            raise BadAsk(400, f"top is under the plan's floor, {terms.floor}")
+        title, place = self._titles[ask.title]
+        return Wanted(
+            plan,
+            min(ask.top, terms.top, self._top),
+            place.home,
+            place.copies,
+            title,
+            ask.title,
+            zlib.crc32(ask.viewer.encode("utf-8", "surrogatepass")),
+            nanoseconds(terms.abandon_ms),
+            ask.returned,
+            int(ask.lasts * SECOND),
+        )
+
+    def _left(self, visit: Visit) -> None:
+        if visit.playback is not None and self.driver is not None:
+            self._doorkeeper.answered(visit.address)
+            self._doorkeeper.gone(visit.address)
+            self.driver.leave(self._now(), visit.playback)
+            self._after()
+
+    def _playlist(self, exchange: Exchange, public: bytes) -> None:
+        playback = self._find(public)
+        if playback is None:
+            exchange.refuse(404, "there is no such playback")
+            return
+        exchange.respond(200, PLAYLIST, playback.timeline.playlist(self._now()))
+
+    def _delete(self, exchange: Exchange, public: bytes) -> None:
+        playback = self._find(public)
+        if playback is None or self.driver is None:
+            exchange.refuse(404, "there is no such playback")
+            return
+        self.driver.leave(self._now(), playback)
+        exchange.respond(204)
+        self._after()
+
+    def _find(self, public: bytes) -> Playback | None:
+        try:
+            name = public.decode("ascii")
+        except UnicodeDecodeError:
+            return None
+        return self.driver.find(self._now(), name) if self.driver is not None else None
+
+    # What the driver says.
+
+    def answer(self, playback: Playback, final: Final) -> None:
+        """Answer the viewer; a request has one answer."""
+        visit: Visit = playback.reply
+        exchange = visit.exchange
+        exchange.on_gone = None
+        self._doorkeeper.answered(visit.address)
+        if final.kind == "plays":
+            self._addresses[playback.public] = visit.address
+            manifest = f"/v1/playbacks/{playback.public}/index.m3u8"
+            told = {"playback": playback.public, "manifest": manifest, "rung": playback.timeline.rung}
+            exchange.json(201, told, ((b"location", manifest.encode("ascii")),))
+            return
+        self._doorkeeper.gone(visit.address)
+        if final.kind == "rejected":
+            told = {"error": "rejected: asking again is harmless", "playback": playback.public}
+            if final.wait:
+                told["retry_after_ms"] = final.wait // 1_000_000
+            exchange.json(503, told, self.advice(final.wait))
+        elif final.kind == "aborted":
+            exchange.json(502, {"error": "aborted: it may have been set up", "playback": playback.public})
+        else:
+            exchange.cut()
+
+    def over(self, playback: Playback) -> None:
+        """What played for an address is over."""
+        address = self._addresses.pop(playback.public, None)
+        if address is not None:
+            self._doorkeeper.gone(address)
+
+    @staticmethod
+    def advice(wait: int) -> Headers:
+        """When to come again, in whole seconds as HTTP has it."""
+        return ((b"retry-after", b"%d" % ceil(wait / SECOND)),) if wait > 0 else ()
+
+
+class BadAsk(Exception):
+    """A request that cannot be taken, and the status that says so."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
--- /dev/null
+++ b/burlmast/edge/driver.py
@@ -0,0 +1,552 @@
+"""Hands what a gateway sees to the decisions, and what they decide to the sockets. Free of I/O.
+
+The driver owns one policy, one heap of alarms and the record of each playback and setup try. It places
+nothing and
+chooses no rung; what it settles is which events still belong to something and which no longer do: `LIFE`
+below.
+All entry points take `now`, whole nanoseconds that never go back.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Callable
+from enum import IntEnum
+from heapq import heappop, heappush
+from typing import Any, NamedTuple, Protocol
+
+from burlmast import api
+from burlmast.api import Ending
+from burlmast.edge.timeline import Timeline
+
+NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
+
+
+class Policy(Protocol):
+    """What decides: `logic.Gateway`, or something that stands in for it."""
+
+    def begin(self, now: int) -> list[api.Action]:
+        """The first actions."""
+
+    def take(self, now: int, event: api.Event) -> list[api.Action]:
+        """The actions that an event asks for, in their order."""
+
+
+class Wanted(NamedTuple):
+    """A request for a playback as the door has checked it; times in nanoseconds."""
+
+    plan: int
+    top: int
+    home: int
+    copies: int
+    title: int
+    title_name: str
+    viewer: int
+    patience: int
+    returned: bool
+    lasts: int
+
+
+class Final(NamedTuple):
+    """The one answer to a request; `wait` is advice in nanoseconds, 0 for none."""
+
+    kind: str  # plays, rejected, aborted, cut
+    wait: int = 0
+
+
+class Try:
+    """A setup try and, once it flows, the stream that came of it."""
+
+    __slots__ = ("ending", "handle", "host", "place", "playback", "rung", "sent_at", "state")
+
+    def __init__(self, playback: Playback, place: int, host: int, sent_at: int) -> None:
+        self.playback, self.place, self.host, self.sent_at = playback, place, host, sent_at
+        self.state = "out"  # out, flowing, ended
+        self.rung = playback.rung
+        self.ending: Ending | None = None
+        self.handle: Any = None  # the shell's
+
+
+class Playback:
+    """A request for a playback and what plays of it."""
+
+    __slots__ = (
+        "abandon",
+        "heard",
+        "number",
+        "public",
+        "reply",
+        "rung",
+        "state",
+        "timeline",
+        "tries",
+        "wanted",
+    )
+
+    def __init__(
+        self, number: int, public: str, wanted: Wanted, now: int, timeline: Timeline, reply: Any
+    ) -> None:
+        self.number, self.public, self.wanted, self.reply = number, public, wanted, reply
+        self.state = "asked"
+        self.rung = 0
+        self.tries: list[Try] = []
+        self.timeline = timeline
+        self.abandon = now + wanted.patience
+        self.heard = now
+
+    @property
+    def out(self) -> list[Try]:
+        """Tries that have not ended."""
+        return [one for one in self.tries if one.state != "ended"]
+
+
+class Outside(Protocol):
+    """The sockets' side."""
+
+    def open_try(self, one: Try) -> None:
+        """Send the set-up; `Driver.flowing` and `Driver.ended` tell what comes of it."""
+
+    def close_try(self, one: Try) -> None:
+        """Close its connection; the driver has ended the try already."""
+
+    def change_rung(self, one: Try, rung: int) -> None:
+        """Tell the host; `Driver.rung_stays` where it could not be changed."""
+
+    def probe(self, host: int) -> None:
+        """Look after a host; `Driver.probed` tells."""
+
+    def keep_informed(self) -> None:
+        """Ask for changes of the list."""
+
+    def answer(self, playback: Playback, final: Final) -> None:
+        """Answer the viewer."""
+
+    def over(self, playback: Playback) -> None:
+        """Nothing is held for this playback any more."""
+
+    def remark(self, text: str) -> None:
+        """A line for the log."""
+
+    def fault(self, event: object, why: Exception) -> None:
+        """The decisions failed at this event; everything held has been answered."""
+
+
+class Alarm(IntEnum):
+    """What an entry of the heap is for."""
+
+    BELL = 0
+    TRY_DUE = 1
+    OVERDUE = 2
+    UNHEARD = 3
+
+
+class Driver:
+    """One gateway between its decisions and its sockets."""
+
+    def __init__(
+        self,
+        policy: Callable[[int], Policy],
+        outside: Outside,
+        names: Callable[[], str],
+        tries: int,
+        unheard: int,
+        timeline: Callable[[str], Timeline],
+        now: int,
+    ) -> None:
+        """`policy` makes the decisions at `now`; `names` draws public ids; `unheard` nanoseconds make a
+        viewer gone."""
+        self._outside, self._names, self._most_tries, self._unheard = outside, names, tries, unheard
+        self._timeline = timeline
+        self._alarms: list[tuple[int, int, Alarm, Any]] = []
+        self._count = 0
+        self._inbox: deque[api.Event] = deque()
+        self._pumping = False
+        self._addresses: dict[int, str] = {}
+        self.held: dict[int, Playback] = {}
+        self.shown: dict[str, Playback] = {}
+        self.failed = False
+        self.asked = self.playing = 0
+        self.longest_hold = 0
+        self.counts: Counter[str] = Counter()
+        self._numbers = 0
+        self._now = now
+        self._policy = policy(now)
+        self._carry_out(self._policy.begin(now))
+
+    # Time.
+
+    @property
+    def next_due(self) -> int | None:
+        """When `ring` has to be called next."""
+        return self._alarms[0][0] if self._alarms else None
+
+    def ring(self, now: int) -> None:
+        """Ring what is due, each once and in the order in which it fell due; what that sets waits for the
+        next call."""
+        due = []
+        while self._alarms and self._alarms[0][0] <= now:
+            due.append(heappop(self._alarms))
+        for _, _, kind, thing in due:
+            if self.failed:
+                return
+            RINGS[kind](self, now, thing)
+
+    def _set(self, due: int, kind: Alarm, thing: object) -> None:
+        self._count += 1
+        heappush(self._alarms, (due, self._count, kind, thing))
+
+    def _bell(self, now: int, token: int) -> None:
+        self._hand(now, api.Bell(token))
+
+    def _try_due(self, now: int, one: Try) -> None:
+        if one.state == "out":
+            self._outside.close_try(one)
+            self.ended(now, one, Ending.TIMEOUT, api.Load())
+
+    def _overdue(self, now: int, playback: Playback) -> None:
+        self._step(now, playback, "overdue")
+
+    def _unheard_of(self, now: int, playback: Playback) -> None:
+        if self.shown.get(playback.public) is not playback:
+            return
+        due = playback.heard + self._unheard
+        if due > now:
+            self._set(due, Alarm.UNHEARD, playback)
+            return
+        self._step(now, playback, "left")
+        self._hide(playback)
+
+    # Viewers.
+
+    def arrive(self, now: int, wanted: Wanted, reply: object) -> Playback:
+        """A viewer asks; exactly one `Outside.answer` follows, unless the viewer leaves first."""
+        return self._arrive(now, wanted, reply, self._names(), self._timeline(wanted.title_name), moved=False)
+
+    def _arrive(
+        self, now: int, wanted: Wanted, reply: object, public: str, timeline: Timeline, moved: bool
+    ) -> Playback:
+        self._numbers += 1
+        playback = Playback(self._numbers, public, wanted, now, timeline, reply)
+        self.held[playback.number] = playback
+        self.asked += 1
+        self.counts["asked"] += 1
+        self._set(playback.abandon, Alarm.OVERDUE, playback)
+        request = api.Request(
+            playback.number,
+            wanted.plan,
+            float(wanted.top),
+            wanted.home,
+            wanted.copies,
+            wanted.title,
+            wanted.viewer,
+            wanted.patience,
+            moved,
+            wanted.returned or moved,
+            wanted.lasts,
+        )
+        self._hand(now, api.Arrived(request))
+        return playback
+
+    def leave(self, now: int, playback: Playback) -> None:
+        """The viewer has closed its request, or ended what plays."""
+        self._step(now, playback, "left")
+        self._hide(playback)
+
+    def find(self, now: int, public: str) -> Playback | None:
+        """What this public id shows, heard of now."""
+        playback = self.shown.get(public)
+        if playback is not None:
+            playback.heard = now
+        return playback
+
+    # Hosts.
+
+    def address(self, host: int) -> str | None:
+        """Where the list says that a host is."""
+        return self._addresses.get(host)
+
+    def flowing(self, now: int, one: Try) -> None:
+        """The host has begun to deliver."""
+        if one.state != "out" or self.failed:
+            return
+        one.state = "flowing"
+        self._step(now, one.playback, "flowing", one)
+
+    def ended(self, now: int, one: Try, ending: Ending, load: api.Load) -> None:
+        """A try, or the stream that came of it, has ended; said again it changes nothing."""
+        if one.state == "ended":
+            return
+        flowed = one.state == "flowing"
+        one.state, one.ending = "ended", ending
+        playback = one.playback
+        self.counts[f"ended {ending.value}"] += 1
+        if flowed:
+            self._step(now, playback, "stream over", one)
+        final = playback.state != "asked"
+        took = max(0, now - one.sent_at)
+        self._hand(now, api.Ended(playback.number, one.place, one.host, ending, took, final, load))
+        self._tidy(playback)
+
+    def noted(self, now: int, one: Try, news: api.News, value: float) -> None:
+        """The host tells of a stream's delivery, link or uplink."""
+        if one.state != "ended":
+            self._hand(now, api.Note(one.playback.number, one.place, one.host, news, value))
+
+    def rung_stays(self, now: int, one: Try, rung: int) -> None:
+        """A change of rung did not reach the host; this one is in force."""
+        if one.state == "flowing" and one.playback.state == "playing":
+            one.rung = one.playback.rung = rung
+            one.playback.timeline.step(now, rung)
+            self._hand(now, api.Note(one.playback.number, one.place, one.host, api.News.RUNG, float(rung)))
+
+    def probed(self, now: int, host: int, ending: Ending, took: int, load: api.Load) -> None:
+        """What came of a probe."""
+        self._hand(now, api.Probed(host, ending, took, load))
+
+    def listed(
+        self, now: int, scope: api.Scope, rows: tuple[api.HostRow, ...], where: dict[int, str]
+    ) -> None:
+        """News of the list, and the addresses that came with it."""
+        if scope in (api.Scope.COMPLETE, api.Scope.CACHED):
+            self._addresses = {}
+        self._addresses.update(where)
+        self._hand(now, api.Listed(scope, rows))
+
+    # Between the two.
+
+    def _hand(self, now: int, event: api.Event) -> None:
+        # Danger: an action may bring an event at once (a host that is not listed any more); it waits its
+        # turn,
+        # so that the decisions never hear of anything while they decide.
+        self._inbox.append(event)
+        if self._pumping or self.failed:
+            return
+        self._pumping = True
+        try:
+            while self._inbox and not self.failed:
+                event = self._inbox.popleft()
+                self._now = now
+                try:
+                    self._carry_out(self._policy.take(now, event))
+                except Exception as why:
+                    self._fail(now, event, why)
+        finally:
+            self._pumping = False
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            ACTIONS[type(action)](self, self._now, action)
+
+    def _fail(self, now: int, event: api.Event, why: Exception) -> None:
+        self.failed = True
+        for playback in list(self.held.values()):
+            if playback.state == "asked":
+                # Only where no try can have run is asking again known to be harmless.
+                sure = all(one.ending in NEVER_RAN for one in playback.tries)
+                self._answer(now, playback, Final("rejected" if sure else "aborted"))
+                playback.state = "refused"
+            for one in playback.out:
+                one.state = "ended"
+                self._outside.close_try(one)
+            playback.timeline.end(now)
+        self._outside.fault(event, why)
+
+    # The life of a playback.
+
+    def _step(self, now: int, playback: Playback, happening: str, thing: object = None) -> None:
+        row = LIFE.get((playback.state, happening))
+        if row is None:
+            self.counts[f"stray {happening}"] += 1
+            return
+        before, (playback.state, effect) = playback.state, row
+        self.asked += (playback.state == "asked") - (before == "asked")
+        self.playing += (playback.state == "playing") - (before == "playing")
+        if effect is not None:
+            effect(self, now, playback, thing)
+        self._tidy(playback)
+
+    def _plays(self, now: int, playback: Playback, one: Try) -> None:
+        playback.heard = now
+        playback.timeline.begin(now, self._addresses.get(one.host, ""), playback.rung)
+        known = playback.public in self.shown
+        self.shown[playback.public] = playback
+        self._set(now + self._unheard, Alarm.UNHEARD, playback)
+        if not known:
+            self._answer(now, playback, Final("plays"))
+        self._hand(now, api.Flowing(playback.number, one.place, one.host, max(0, now - one.sent_at)))
+        if one.rung != playback.rung:
+            self._change(one, playback.rung)
+
+    def _refused(self, now: int, playback: Playback, final: Final) -> None:
+        self._answer(now, playback, final)
+        if playback.public in self.shown:  # it had been moved, and nowhere takes it
+            playback.timeline.end(now)
+
+    def _answer(self, now: int, playback: Playback, final: Final) -> None:
+        self.counts[final.kind] += 1
+        self.longest_hold = max(self.longest_hold, now - playback.abandon + playback.wanted.patience)
+        if playback.reply is not None:
+            self._outside.answer(playback, final)
+            playback.reply = None
+
+    def _gone(self, now: int, playback: Playback, _: object) -> None:
+        playback.reply = None
+        playback.timeline.end(now)
+        self._hand(now, api.ViewerLeft(playback.number))
+        self._close(now, playback)
+
+    def _cut(self, now: int, playback: Playback, _: object) -> None:
+        """Nothing was decided in time: the viewer is told nothing but that nothing comes."""
+        self._answer(now, playback, Final("cut"))
+        self._gone(now, playback, None)
+
+    def _over(self, now: int, playback: Playback, _: object) -> None:
+        playback.timeline.end(now)
+
+    def _moves(self, now: int, playback: Playback, _: object) -> None:
+        self._close(now, playback)
+        wanted = playback.wanted
+        back = self._arrive(now, wanted, None, playback.public, playback.timeline, moved=True)
+        back.heard = playback.heard
+        if self.shown.get(playback.public) is playback:
+            self.shown[playback.public] = back
+            self._set(back.heard + self._unheard, Alarm.UNHEARD, back)
+
+    def _unwanted(self, now: int, playback: Playback, one: Try) -> None:
+        self._outside.close_try(one)
+        self.ended(now, one, Ending.CALLED_OFF, api.Load())
+
+    def _close(self, now: int, playback: Playback) -> None:
+        for one in playback.out:
+            self._outside.close_try(one)
+            self.ended(now, one, Ending.CALLED_OFF, api.Load())
+
+    def _tidy(self, playback: Playback) -> None:
+        over = playback.state in ("refused", "gone", "over") and not playback.out
+        if over and self.held.pop(playback.number, None) is not None:
+            self._outside.over(playback)
+
+    def _hide(self, playback: Playback) -> None:
+        if self.shown.get(playback.public) is playback:
+            del self.shown[playback.public]
+
+    # Actions.
+
+    def _set_up(self, now: int, action: api.SetUp) -> None:
+        playback = self.held.get(action.pb)
+        if playback is None:
+            self.counts["stray set-up"] += 1
+            return
+        one = Try(playback, len(playback.tries), action.host, now)
+        playback.tries.append(one)
+        self.counts["further tries" if one.place else "first tries"] += 1
+        sendable = playback.state == "asked" and action.host in self._addresses
+        if not sendable or one.place >= self._most_tries:
+            self.ended(now, one, Ending.MOOT, api.Load())
+            return
+        due = min(now + action.allow, playback.abandon) if action.allow > 0 else playback.abandon
+        self._set(due, Alarm.TRY_DUE, one)
+        self._outside.open_try(one)
+
+    def _set_rung(self, now: int, action: api.SetRung) -> None:
+        playback = self.held.get(action.pb)
+        if playback is None or playback.state not in ("asked", "playing"):
+            self.counts["stray rung"] += 1
+            return
+        playback.rung = action.rung
+        for one in playback.out:
+            if one.state == "flowing":
+                playback.timeline.step(now, action.rung)
+                self._change(one, action.rung)
+
+    def _change(self, one: Try, rung: int) -> None:
+        self.counts["rung changes"] += 1
+        self._outside.change_rung(one, rung)
+
+    def _reject(self, now: int, action: api.Reject) -> None:
+        self._settle(now, action.pb, "rejected", Final("rejected", action.wait))
+
+    def _abort(self, now: int, action: api.Abort) -> None:
+        self._settle(now, action.pb, "aborted", Final("aborted"))
+
+    def _settle(self, now: int, pb: int, happening: str, final: Final) -> None:
+        playback = self.held.get(pb)
+        if playback is not None:
+            self._step(now, playback, happening, final)
+
+    def _call_off(self, now: int, action: api.CallOff) -> None:
+        playback = self.held.get(action.pb)
+        if playback is not None and 0 <= action.attempt < len(playback.tries):
+            one = playback.tries[action.attempt]
+            if one.state == "out":
+                self._outside.close_try(one)
+                self.ended(now, one, Ending.CALLED_OFF, api.Load())
+
+    def _move(self, now: int, action: api.Move) -> None:
+        playback = self.held.get(action.pb)
+        if playback is not None:
+            self._step(now, playback, "move")
+
+    def _set_alarm(self, now: int, action: api.SetAlarm) -> None:
+        self._set(now + max(0, action.after), Alarm.BELL, action.token)
+
+    def _probe(self, now: int, action: api.Probe) -> None:
+        self.counts["probes"] += 1
+        if action.host in self._addresses:
+            self._outside.probe(action.host)
+        else:
+            self.probed(now, action.host, Ending.NO_CONNECTION, 0, api.Load())
+
+    def _keep_informed(self, now: int, action: api.KeepInformed) -> None:
+        self._outside.keep_informed()
+
+    def _remark(self, now: int, action: api.Remark) -> None:
+        self._outside.remark(action.text)
+
+
+# State of a playback and what happens to it: the next state, and what is done about it.
+LIFE: dict[tuple[str, str], tuple[str, Callable[[Driver, int, Playback, Any], None] | None]] = {
+    ("asked", "flowing"): ("playing", Driver._plays),
+    ("asked", "rejected"): ("refused", Driver._refused),
+    ("asked", "aborted"): ("refused", Driver._refused),
+    ("asked", "left"): ("gone", Driver._gone),
+    ("asked", "overdue"): ("gone", Driver._cut),
+    ("playing", "overdue"): ("playing", None),
+    ("playing", "stream over"): ("over", Driver._over),
+    ("playing", "move"): ("over", Driver._moves),
+    ("playing", "left"): ("gone", Driver._gone),
+    # A second stream for a playback that plays can only come of two tries at once; it is not kept.
+    ("playing", "flowing"): ("playing", Driver._unwanted),
+    ("refused", "flowing"): ("refused", Driver._unwanted),
+    ("gone", "flowing"): ("gone", Driver._unwanted),
+    ("over", "flowing"): ("over", Driver._unwanted),
+    ("refused", "stream over"): ("refused", None),
+    ("gone", "stream over"): ("gone", None),
+    ("over", "stream over"): ("over", None),
+    ("refused", "overdue"): ("refused", None),
+    ("gone", "overdue"): ("gone", None),
+    ("over", "overdue"): ("over", None),
+    ("refused", "left"): ("refused", None),
+    ("gone", "left"): ("gone", None),
+    ("over", "left"): ("over", None),
+}
+
+RINGS: dict[Alarm, Callable[[Driver, int, Any], None]] = {
+    Alarm.BELL: Driver._bell,
+    Alarm.TRY_DUE: Driver._try_due,
+    Alarm.OVERDUE: Driver._overdue,
+    Alarm.UNHEARD: Driver._unheard_of,
+}
+
+ACTIONS: dict[type, Callable[[Driver, int, Any], None]] = {
+    api.SetUp: Driver._set_up,
+    api.SetRung: Driver._set_rung,
+    api.Reject: Driver._reject,
+    api.Abort: Driver._abort,
+    api.CallOff: Driver._call_off,
+    api.Move: Driver._move,
+    api.SetAlarm: Driver._set_alarm,
+    api.Probe: Driver._probe,
+    api.KeepInformed: Driver._keep_informed,
+    api.Remark: Driver._remark,
+}
--- /dev/null
+++ b/burlmast/edge/operators.py
@@ -0,0 +1,80 @@
+"""The operators' listener: metrics and health, apart from the viewers'."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Histogram
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector
+
+from burlmast.http1.server import Exchange
+
+if TYPE_CHECKING:
+    from burlmast.edge.program import Program
+
+TEXT = ((b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),)
+
+
+class Figures(Collector):
+    """Reads the driver's and the doorkeeper's own counts when they are asked for."""
+
+    def __init__(self, program: Program) -> None:
+        self._program = program
+
+    def collect(self) -> Iterator[Metric]:
+        driver, doorkeeper = self._program.driver, self._program.doorkeeper
+        happened = CounterMetricFamily("burlmast_happened", "What happened, by kind", labels=["what"])
+        for what, count in sorted(driver.counts.items()):
+            happened.add_metric([what], count)
+        yield happened
+        away = CounterMetricFamily(
+            "burlmast_turned_away", "Sent away by this program's limits", labels=["limit"]
+        )
+        for what, count in sorted(doorkeeper.turned_away.items()):
+            away.add_metric([what], count)
+        yield away
+        for name, text, value in (
+            ("burlmast_held", "Requests that are owed an answer", driver.asked),
+            ("burlmast_playing", "Playbacks that play", driver.playing),
+            ("burlmast_connections", "Viewers' connections", doorkeeper.connections.taken),
+            (
+                "burlmast_longest_hold_seconds",
+                "Longest time from request to answer",
+                driver.longest_hold / 1e9,
+            ),
+            ("burlmast_longest_stall_seconds", "Longest time the loop was late", self._program.longest_stall),
+        ):
+            yield GaugeMetricFamily(name, text, value)
+
+
+class Operators:
+    """`GET /metrics`, `/healthz` (the process runs) and `/readyz` (it has a list and takes requests)."""
+
+    def __init__(self, program: Program) -> None:
+        self._program = program
+        self.registry = CollectorRegistry()
+        self.registry.register(Figures(program))
+        self.answer_time = Histogram(
+            "burlmast_answer_seconds",
+            "From request to answer",
+            buckets=(0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
+            registry=self.registry,
+        )
+
+    def application(self, exchange: Exchange) -> None:
+        """Answer an operator."""
+        path = exchange.target.split(b"?", 1)[0]
+        if exchange.method not in (b"GET", b"HEAD"):
+            exchange.refuse(405, "use GET here", ((b"allow", b"GET, HEAD"),))
+        elif path == b"/metrics":
+            exchange.respond(200, TEXT, generate_latest(self.registry))
+        elif path == b"/healthz":
+            exchange.json(200, {"runs": True})
+        elif path == b"/readyz":
+            ready = self._program.ready
+            exchange.json(200 if ready else 503, {"ready": ready})
+        else:
+            exchange.refuse(404, "there is nothing here")
--- /dev/null
+++ b/burlmast/edge/program.py
@@ -0,0 +1,303 @@
+"""The gateway as a process: its loop, signals, listeners and clock, round one driver."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from burlmast import api
+from burlmast.api import Ending, News, Scope
+from burlmast.edge.clock import Clock
+from burlmast.edge.door import Door, ViewersGate
+from burlmast.edge.driver import Driver, Final, Playback, Policy, Try
+from burlmast.edge.hosts import HostsSide
+from burlmast.edge.limits import Doorkeeper
+from burlmast.edge.listing import ListSide
+from burlmast.edge.operators import Operators
+from burlmast.edge.redial import Redial
+from burlmast.edge.timeline import Timeline
+from burlmast.http1.client import Address, Pool
+from burlmast.http1.server import Bounds, Server
+from burlmast.logic import Gateway
+from burlmast.settings.read import nanoseconds, terms
+from burlmast.settings.sheets import Deployment
+
+FAULT_EXIT = 70  # EX_SOFTWARE of sysexits.h
+Maker = Callable[[api.Terms, int, int], Policy]
+
+
+class Program:
+    """One gateway. It is the driver's outside and the hosts' ear."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        number: int,
+        list_address: Address | None,
+        zone: int | None = None,
+        maker: Maker = Gateway,
+        seed: int | None = None,
+    ) -> None:
+        """Must be made on a running loop. `maker` makes the decisions; others than `Gateway` are for
+        trials."""
+        self.deployment, self.number = deployment, number
+        zone = number % len(deployment.zones) if zone is None else zone
+        edge = deployment.edge
+        self.loop = asyncio.get_running_loop()
+        self.log = structlog.get_logger().bind(gateway=number)
+        self.clock = Clock(time.time_ns(), time.monotonic_ns())
+        self.doorkeeper = Doorkeeper(edge.doorway)
+        self.done: asyncio.Future[int] = self.loop.create_future()
+        self.ready = False
+        self.longest_stall = 0.0
+        self._armed: asyncio.TimerHandle | None = None
+        self._armed_for = 0
+        self.pool = Pool(connect_s=edge.connect_ms / 1000)
+        self.door = Door(deployment, self.doorkeeper, self.now, self.arm)
+        rates, scales = deployment.ladder.rates_kb, [plan.scale for plan in deployment.plans]
+        self.hosts = HostsSide(
+            self.pool,
+            self,
+            lambda host: self.driver.address(host),
+            lambda plan, rung: rates[rung] * scales[plan],
+            number,
+            edge.probe_ms / 1000,
+            self.loop.call_later,
+        )
+        seed = secrets.randbits(63) if seed is None else seed
+        self.list: ListSide | None = None
+        if list_address is not None:
+            redial = Redial(
+                nanoseconds(edge.redial_ms),
+                nanoseconds(edge.redial_longest_ms),
+                nanoseconds(edge.list_quiet_ms),
+                seed,
+            )
+            self.list = ListSide(
+                self.pool,
+                list_address,
+                number,
+                redial,
+                self,
+                deployment.allowed.must_ask,
+                self.now,
+                self.loop.call_later,
+            )
+        segment = nanoseconds(edge.segment_ms)
+        told = terms(deployment, number, zone)
+        self.driver = Driver(
+            lambda now: maker(told, seed, now),
+            self,
+            lambda: secrets.token_urlsafe(15),
+            deployment.allowed.tries,
+            int(edge.unheard_targets * segment),
+            lambda title: Timeline(title, segment, edge.window, edge.ahead),
+            self.now(),
+        )
+        self.door.driver = self.driver
+        self.operators = Operators(self)
+        self.viewers = Server(self.door.application, Bounds(), ViewersGate(self.doorkeeper), self._door_fault)
+        self.operators_server = Server(self.operators.application, Bounds())
+        self._signals: list[int] = []
+
+    async def start(
+        self, host: str, port: int, operators: tuple[str, int] = ("127.0.0.1", 0)
+    ) -> tuple[int, int]:
+        """Begin to listen; the ports of viewers and operators."""
+        ops = await self.operators_server.listen(*operators)
+        found = await self.viewers.listen(host, port)
+        if self.list is not None and not self.deployment.allowed.must_ask:
+            self.list.want()
+        self.arm()
+        self._watch_loop(self.loop.time())
+        self.log.info("started", viewers=found, operators=ops)
+        return found, ops
+
+    def handle_signals(self) -> None:
+        """SIGTERM and SIGINT stop this gateway; the second one at once."""
+        for one in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(one, self.stop)
+
+    # Time.
+
+    def now(self) -> int:
+        """The one clock."""
+        return self.clock.now(time.monotonic_ns())
+
+    def arm(self) -> None:
+        """See that the driver's next alarm is rung."""
+        due = self.driver.next_due
+        if due is None or (self._armed is not None and self._armed_for <= due):
+            return
+        if self._armed is not None:
+            self._armed.cancel()
+        self._armed_for = due
+        self._armed = self.loop.call_later(max(0.0, (due - self.now()) / 1e9), self._ring)
+
+    def _ring(self) -> None:
+        self._armed = None
+        self.driver.ring(self.now())
+        self.arm()
+
+    def _watch_loop(self, due: float) -> None:
+        late = self.loop.time() - due
+        if late > max(self.longest_stall, 0.001):
+            self.longest_stall = late
+            if late > 0.5:
+                self.log.warning("stood still", seconds=round(late, 3))
+        self.loop.call_later(0.1, self._watch_loop, self.loop.time() + 0.1)
+
+    # The driver's outside.
+
+    def open_try(self, one: Try) -> None:
+        self.hosts.open_try(one)
+
+    def close_try(self, one: Try) -> None:
+        self.hosts.close_try(one)
+
+    def change_rung(self, one: Try, rung: int) -> None:
+        self.hosts.change_rung(one, rung)
+
+    def probe(self, host: int) -> None:
+        self.hosts.probe(host)
+
+    def keep_informed(self) -> None:
+        if self.list is not None:
+            self.list.want()
+
+    def answer(self, playback: Playback, final: Final) -> None:
+        self.operators.answer_time.observe((self.now() - playback.abandon + playback.wanted.patience) / 1e9)
+        self.door.answer(playback, final)
+
+    def over(self, playback: Playback) -> None:
+        self.door.over(playback)
+
+    def remark(self, text: str) -> None:
+        self.log.info("remark", text=text)
+
+    def fault(self, event: object, why: Exception) -> None:
+        self.log.error(
+            "decisions failed", event_seen=repr(event), why=f"{type(why).__name__}: {why}", exc_info=why
+        )
+        # The answers are in the transports' buffers; they go out before the loop ends.
+        self.viewers.stop_listening()
+        self.loop.call_later(0.2, self._end, FAULT_EXIT)
+
+    # The hosts' ear and the list's reader.
+
+    def flowing(self, one: Try) -> None:
+        self.driver.flowing(self.now(), one)
+        self.arm()
+
+    def ended(self, one: Try, ending: Ending, load: api.Load) -> None:
+        self.driver.ended(self.now(), one, ending, load)
+        self.arm()
+
+    def noted(self, one: Try, news: News, value: float) -> None:
+        self.driver.noted(self.now(), one, news, value)
+        self.arm()
+
+    def rung_stays(self, one: Try, rung: int) -> None:
+        self.driver.rung_stays(self.now(), one, rung)
+        self.arm()
+
+    def probed(self, host: int, ending: Ending, took: int, load: api.Load) -> None:
+        self.driver.probed(self.now(), host, ending, took, load)
+        self.arm()
+
+    def listed(self, scope: Scope, rows: tuple[api.HostRow, ...], where: dict[int, str]) -> None:
+        wall, monotonic = time.time_ns(), time.monotonic_ns()
+        # Start times that are not known stay 0: older than everything.
+        timed = tuple(
+            row._replace(started=self.clock.start_of(row.host, row.started, wall, monotonic))
+            if row.started
+            else row
+            for row in rows
+        )
+        if scope is not Scope.FAILED:
+            if not self.ready:
+                self.log.info("has a list", hosts=len(rows))
+            self.ready = True
+        for row in rows:
+            if row.standing is not api.Standing.READY:
+                self.log.info("host leaves", host=row.host, standing=row.standing.value)
+        self.driver.listed(self.now(), scope, timed, where)
+        self.arm()
+
+    def list_trouble(self, what: str) -> None:
+        """The list, or the way to it, is not well."""
+        self.log.warning("list trouble", what=what)
+
+    def _door_fault(self, why: Exception) -> None:
+        self.log.error("door failed", why=f"{type(why).__name__}: {why}", exc_info=why)
+
+    # The end.
+
+    def stop(self) -> None:
+        """Take nothing new, answer what is held, leave what plays until the stated time."""
+        if self.door.closing:
+            self._end(0)
+            return
+        self.log.info("stopping", held=self.driver.asked, playing=self.driver.playing)
+        self.door.closing = True
+        self.ready = False
+        self.viewers.stop_listening()
+        self._wind_down(self.loop.time() + self.deployment.edge.leave_after_ms / 1000)
+
+    def _wind_down(self, until: float) -> None:
+        busy = self.driver.asked or self.driver.playing
+        if not busy or self.driver.failed or (self.loop.time() >= until and not self.driver.asked):
+            self.loop.call_later(0.05, self._end, 0)
+        else:
+            self.loop.call_later(0.05, self._wind_down, until)
+
+    def _end(self, code: int) -> None:
+        if not self.done.done():
+            self.done.set_result(code)
+
+    def close(self) -> None:
+        """Close every socket."""
+        if self._armed is not None:
+            self._armed.cancel()
+        if self.list is not None:
+            self.list.close()
+        self.viewers.close()
+        self.operators_server.close()
+        self.pool.close()
+
+
+async def run(
+    deployment: Deployment,
+    number: int,
+    list_address: Address | None,
+    listen: tuple[str, int],
+    operators: tuple[str, int],
+    told: Callable[[dict[str, Any]], None],
+    maker: Maker = Gateway,
+    zone: int | None = None,
+    seed: int | None = None,
+) -> int:
+    """Run one gateway until it is stopped; the exit code. Raises OSError where it cannot listen."""
+    program = Program(deployment, number, list_address, zone, maker, seed)
+    try:
+        viewers, ops = await program.start(*listen, operators)
+        program.handle_signals()
+        told(
+            {
+                "ready": True,
+                "gateway": f"http://{listen[0]}:{viewers}",
+                "operators": f"http://{operators[0]}:{ops}",
+            }
+        )
+        code = await program.done
+        program.log.info("ended", code=code)
+        return code
+    finally:
+        program.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/burlmast/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: Jsonnet templates, checked into frozen types before anything is opened."""
--- /dev/null
+++ b/burlmast/settings/sheets.py
@@ -0,0 +1,140 @@
+"""What a deployment states of itself, as read; times end in their unit, rates are kB a second."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+
+class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A part of the settings; a key that is not known is an error, for it is most often a misspelt one."""
+
+
+class Rungs(Sheet, frozen=True):
+    """The ladder: the rate of each rung, lowest first, and what part of the revenue it earns."""
+
+    rates_kb: tuple[float, ...]
+    earns: tuple[float, ...]
+
+
+class PlanTerms(Sheet, frozen=True):
+    """Terms of one plan."""
+
+    name: str
+    revenue: float
+    startup_target_ms: float
+    abandon_ms: float
+    repeat: Literal["freely", "within group", "never"] = "freely"
+    repeat_group: Literal["all", "zone", "cell"] = "all"
+    repeat_span_ms: float = 5000.0
+    floor: int = 0
+    top: int = 255
+    seats: int = 0
+    scale: float = 1.0
+
+
+class Fleet(Sheet, frozen=True):
+    """What is told beforehand of links, uplinks and hosts."""
+
+    cells: int
+    racks: int
+    link_kb: float
+    uplink_kb: float
+    streams_by_kind: tuple[int, ...]
+    weights_tell_size: bool = False
+    reports: bool = True
+    tells: bool = True
+    note_lag_ms: float = 800.0
+
+
+class Leave(Sheet, frozen=True):
+    """What a gateway may do here."""
+
+    probes: bool = True
+    call_off: bool = True
+    tries: int = 3
+    advice: bool = True
+    longest_advice_ms: float = 1000.0
+    must_ask: bool = False
+    ask_within_ms: float = 10000.0
+
+
+class House(Sheet, frozen=True):
+    """The figures of the six rules."""
+
+    drain_grace_ms: float
+    cold_share: float
+    warm_after_ms: float
+    fall_multiple: float
+    fall_span_ms: float
+    further_free: float | None = None
+    further_ratio: float = 0.0
+    further_span_ms: float = 10000.0
+
+
+class Title(Sheet, frozen=True):
+    """A title: the first cell that holds it and how many cells in a row do."""
+
+    name: str
+    home: int
+    copies: int
+
+
+class Doorway(Sheet, frozen=True):
+    """How much a gateway lets in; it says nothing of hosts or rungs."""
+
+    connections: int = 20000
+    connections_each: int = 2000
+    heads: int = 2000
+    held: int = 2000
+    buffered_kb: float = 16384.0
+    crowded: float = 0.75
+    advice_ms: float = 500.0
+
+
+class Edge(Sheet, frozen=True):
+    """How the gateway program runs."""
+
+    doorway: Doorway = Doorway()
+    segment_ms: float = 2000.0
+    window: int = 6
+    ahead: int = 2
+    unheard_targets: float = 3.0
+    leave_after_ms: float = 30000.0
+    connect_ms: float = 250.0
+    probe_ms: float = 250.0
+    redial_ms: float = 250.0
+    redial_longest_ms: float = 4000.0
+    list_quiet_ms: float = 5000.0
+
+
+class StandIns(Sheet, frozen=True):
+    """How the stand-in hosts and list behave; of no meaning to a gateway."""
+
+    hosts: int = 12
+    set_up_ms: float = 20.0
+    deliver_every_ms: float = 1000.0
+    tell_every_ms: float = 2000.0
+    link_spread: float = 0.2
+    list_delay_ms: float = 300.0
+    media_bytes_per_kb: float = 4.0
+    a_second: float = 10.0
+    lasts_s: tuple[float, float] = (6.0, 20.0)
+
+
+class Deployment(Sheet, frozen=True):
+    """All of it."""
+
+    name: str
+    zones: tuple[str, ...]
+    gateways: int
+    ladder: Rungs
+    plans: tuple[PlanTerms, ...]
+    fleet: Fleet
+    rules: House
+    titles: tuple[Title, ...]
+    allowed: Leave = Leave()
+    beat_ms: float = 10.0
+    edge: Edge = Edge()
+    stand_ins: StandIns = StandIns()
--- /dev/null
+++ b/burlmast/standin/box.py
@@ -0,0 +1,132 @@
+"""A media host without its sockets: links, uplinks, places, cold starts and what ails it. Free of I/O."""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from dataclasses import dataclass, field
+
+from burlmast import api
+
+
+@dataclass
+class Ailment:
+    """What a trouble makes of a host; the plain values are those of health."""
+
+    errors: float = 0.0  # part of set-ups that fail at once
+    full: bool = False
+    mute: bool = False  # takes what comes and answers nothing
+    slow: float = 1.0  # times slower
+    ageing: float = 0.0  # times slower per second
+    link: float = 1.0  # times less
+    neighbour: float = 0.0  # part of the link that another program takes
+    neighbour_turn: float = 0.0  # seconds on or off; 0 is always on
+    late: float = 0.0  # seconds by which reports are later
+
+
+@dataclass
+class Rack:
+    """Hosts behind one uplink, kB a second."""
+
+    uplink: float
+    less: float = 1.0
+    boxes: list[Box] = field(default_factory=list)
+
+    def asked(self) -> float:
+        """What is asked of the uplink over what it gives."""
+        return sum(box.asked_kb() for box in self.boxes) / max(1.0, self.uplink / self.less)
+
+
+class Box:
+    """One host's process."""
+
+    def __init__(
+        self,
+        number: int,
+        rack: Rack,
+        link: float,
+        places: int,
+        cold_share: float,
+        warm_after: int,
+        started: int,
+    ) -> None:
+        """`started` is on the caller's clock in nanoseconds; far in the past makes a warm host."""
+        self.number, self.rack, self.link, self.places = number, rack, link, places
+        self._cold_share, self._warm_after = cold_share, warm_after
+        self.started = started
+        self.ails = Ailment()
+        self.ails_since = started
+        self.rates: dict[str, float] = {}
+        self.draining = False
+        self._draws = 0
+        self._history: deque[tuple[int, float]] = deque(maxlen=256)
+        rack.boxes.append(self)
+
+    def leave(self) -> None:
+        """The process is gone."""
+        self.rates.clear()
+        if self in self.rack.boxes:
+            self.rack.boxes.remove(self)
+
+    def warmed(self, now: int) -> float:
+        """The part of its capacity that it has by now."""
+        part = (now - self.started) / self._warm_after if self._warm_after else 1.0
+        return min(1.0, self._cold_share + (1 - self._cold_share) * max(0.0, part))
+
+    def asked_kb(self) -> float:
+        """kB a second that its streams want."""
+        return sum(self.rates.values())
+
+    def link_now(self, now: int) -> float:
+        """kB a second that its link gives now."""
+        given = self.link / self.ails.link * self.warmed(now)
+        turn = int(self.ails.neighbour_turn * 1e9)
+        if self.ails.neighbour and (not turn or (now // turn) % 2 == 0):
+            given *= 1 - self.ails.neighbour
+        return max(1.0, given)
+
+    def link_asked(self, now: int) -> float:
+        """What is asked of its link over what the link gives."""
+        return self.asked_kb() / self.link_now(now)
+
+    def share(self, now: int) -> float:
+        """The part of its rate that every stream here gets."""
+        most = max(self.link_asked(now), self.rack.asked())
+        return 1.0 if most <= 1 else 1 / most
+
+    def load(self, now: int) -> api.Load:
+        """What it reports of itself."""
+        return api.Load(float(len(self.rates)), round(self.link_asked(now), 4), round(self.rack.asked(), 4))
+
+    def refuses(self) -> str:
+        """Why a set-up is turned away before any work, or nothing."""
+        if self.draining:
+            return "draining"
+        return "full" if self.ails.full or len(self.rates) >= self.places else ""
+
+    def fails(self) -> bool:
+        """Whether the next set-up fails at once."""
+        self._draws += 1
+        return zlib.crc32(f"{self.number}:{self.started}:{self._draws}".encode()) / 2**32 < self.ails.errors
+
+    def slowness(self, now: int) -> float:
+        """How many times longer a set-up takes."""
+        return self.ails.slow + self.ails.ageing * (now - self.ails_since) / 1e9
+
+    def remember(self, now: int) -> None:
+        """Keep the share as it is now, for those who hear of it late."""
+        self._history.append((now, self.share(now)))
+
+    def share_then(self, then: int) -> float:
+        """The share as it was."""
+        found = 1.0
+        for at, share in self._history:
+            if at > then:
+                break
+            found = share
+        return found
+
+
+def true_rate(title: str, rate: float, vary: float = 0.15) -> float:
+    """What a title's rung really takes: above or below the ladder, the same for all."""
+    return rate * (1 + vary * (2 * zlib.crc32(title.encode()) / 2**32 - 1))
--- /dev/null
+++ b/burlmast/world/troubles.py
@@ -0,0 +1,145 @@
+"""Troubles as data: what happens, when, for how long, to what part of the fleet and how badly.
+
+A trouble strikes things drawn by chance from a seed; the same seed strikes the same ones.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from burlmast.world.traffic import Record  # noqa: F401  (part of what a day is made of)
+
+SECOND = 1_000_000_000
+
+
+class Kind(NamedTuple):
+    """A kind of trouble: what it strikes, and what `size` and `extra` mean for it."""
+
+    strikes: str  # hosts, racks, gateways, list, viewers
+    size: str = ""
+    extra: str = ""
+
+
+KINDS: dict[str, Kind] = {
+    "crash": Kind("hosts"),
+    "silence": Kind("hosts"),
+    "standstill": Kind("hosts"),
+    "fast errors": Kind("hosts", "part of set-ups that fail"),
+    "full": Kind("hosts"),
+    "slow": Kind("hosts", "times slower"),
+    "ageing": Kind("hosts", "times slower at the end, when it breaks"),
+    "replaced": Kind("hosts", "", "seconds from drain to death"),
+    "short links": Kind("hosts", "times less"),
+    "short uplinks": Kind("racks", "times less"),
+    "neighbour": Kind("hosts", "part of the link taken", "seconds on or off"),
+    "late reports": Kind("hosts", "seconds later"),
+    "late list": Kind("list", "seconds later"),
+    "failing list": Kind("list"),
+    "restarts": Kind("gateways", "seconds down"),
+    "stalls": Kind("gateways", "seconds stopped"),
+    "burst": Kind("viewers", "times the usual rate"),
+    "crowd": Kind("viewers", "part of requests", "titles"),
+}
+
+
+class Trouble(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One trouble of a day; times in seconds from the day's start."""
+
+    kind: str
+    start: float
+    lasts: float
+    part: float = 1.0
+    size: float = 1.0
+    extra: float = 1.0
+
+
+class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A scripted day: how long viewers come, and what goes wrong meanwhile."""
+
+    name: str
+    lasts: float
+    troubles: tuple[Trouble, ...] = ()
+    load: float = 1.0
+
+
+class NotADay(Exception):
+    """A script that cannot be played; the text says where and why."""
+
+
+def check(day: Day) -> Day:
+    """The day, if it can be played. Raises NotADay."""
+    if not 1 <= day.lasts <= 600:
+        raise NotADay("lasts: must be 1 to 600 seconds")
+    if not 0 < day.load <= 100:
+        raise NotADay("load: must be above 0 and at most 100")
+    for place, one in enumerate(day.troubles):
+        key = f"troubles[{place}]"
+        if one.kind not in KINDS:
+            raise NotADay(f"{key}.kind: not known: {one.kind}")
+        if not 0 <= one.start <= day.lasts:
+            raise NotADay(f"{key}.start: must be within the day")
+        if not 0 < one.lasts <= 600:
+            raise NotADay(f"{key}.lasts: must be above 0 and at most 600")
+        if not 0 < one.part <= 1:
+            raise NotADay(f"{key}.part: must be above 0 and at most 1")
+        if one.size <= 0 or one.extra <= 0:
+            raise NotADay(f"{key}: size and extra must be above 0")
+    return day
+
+
+def struck(things: Sequence[int], part: float, seed: int, place: int) -> list[int]:
+    """Which of these a trouble strikes: one at least, by the seed and the trouble's place in the day."""
+    ranked = sorted(things, key=lambda one: (zlib.crc32(f"{seed}:{place}:{one}".encode()), one))
+    return sorted(ranked[: max(1, round(part * len(things)))])
+
+
+def edges(day: Day) -> Iterator[tuple[float, int, bool]]:
+    """When troubles begin and end, in order: seconds, place in the day, whether it begins."""
+    found = []
+    for place, one in enumerate(day.troubles):
+        found.append((one.start, place, True))
+        found.append((one.start + one.lasts, place, False))
+    yield from sorted(found, key=lambda edge: (edge[0], edge[2], edge[1]))
+
+
+STANDARD = Day(
+    "standard",
+    44.0,
+    (
+        Trouble("fast errors", 4, 10, 0.25, 0.9),
+        Trouble("replaced", 6, 9, 0.17, 1, 1.2),
+        Trouble("short links", 8, 9, 0.25, 3),
+        Trouble("burst", 10, 5, 1, 2),
+        Trouble("restarts", 13, 9, 0.67, 0.8),
+        Trouble("crash", 15, 6, 0.17),
+        Trouble("late list", 15, 10, 1, 2),
+        Trouble("short uplinks", 20, 8, 0.34, 3),
+        Trouble("stalls", 23, 6, 0.67, 2),
+        Trouble("standstill", 25, 6, 0.17),
+        Trouble("crowd", 26, 7, 1, 0.3, 2),
+        Trouble("silence", 30, 6, 0.17),
+        Trouble("neighbour", 31, 8, 0.34, 0.6, 1),
+        Trouble("full", 33, 5, 0.17),
+        Trouble("late reports", 33, 8, 1, 2),
+        Trouble("failing list", 35, 5),
+        Trouble("ageing", 34, 8, 0.09, 20),
+    ),
+)
+SHORT = Day(
+    "short",
+    14.0,
+    (
+        Trouble("fast errors", 2, 8, 0.34, 0.9),
+        Trouble("replaced", 3, 7, 0.34, 1, 3),
+        Trouble("crash", 4, 3, 0.17),
+        Trouble("restarts", 5, 4, 0.34, 0.5),
+        Trouble("short links", 6, 5, 0.25, 3),
+        Trouble("stalls", 9, 3, 0.34, 1.5),
+    ),
+)
+QUIET = Day("quiet", 8.0)
+DAYS = {day.name: day for day in (STANDARD, SHORT, QUIET)}
