--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -13,8 +13,9 @@
 import msgspec
 import structlog
 
-from burlmast.settings.read import BadSettings, read
+from burlmast.settings.read import BadSettings, evaluate, read
 from burlmast.settings.sheets import Deployment
+from burlmast.world.troubles import Day
 
 SAMPLE = "deploy/samples/training.jsonnet"
 
@@ -270,6 +271,59 @@
     return 0
 
 
+def read_day(file: str) -> Day:
+    """A scripted day from a Jsonnet file. Raises NotADay."""
+    from burlmast.world.troubles import NotADay
+    from burlmast.world.troubles import check as checked
+
+    try:
+        return checked(msgspec.json.decode(evaluate(file), type=Day))
+    except BadSettings as why:
+        raise NotADay(str(why).removeprefix(f"{file}: ")) from None
+    except msgspec.MsgspecError as why:
+        raise NotADay(str(why)) from None
+
+
+@main.command("bad-day")
+@click.argument("name", default="standard")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
+@click.option("--plant", type=click.IntRange(1, 6), default=None, help="Break this rule on purpose.")
+@click.option(
+    "--logs", type=click.Path(file_okay=False), default=None, help="A folder for the gateways' logs."
+)
+def bad_day(name: str, seed: int, file: str, as_json: bool, plant: int | None, logs: str | None) -> None:
+    """Play the day NAME (standard, short, quiet, or a file that scripts one) and judge it from the traffic.
+
+    Ends with 0 where the six rules held, with 1 where one was broken, with 2 where the day cannot be played.
+    """
+    from burlmast.badday.day import run_day
+    from burlmast.badday.gateways import NotStarted
+    from burlmast.badday.report import as_text
+    from burlmast.world.troubles import DAYS, NotADay
+
+    deployment = settings(file)
+    try:
+        day = DAYS.get(name) or read_day(name)
+    except NotADay as why:
+        click.echo(f"{name}: {why}", err=True)
+        raise SystemExit(2) from None
+    folder = Path(logs) if logs else None
+    if folder:
+        folder.mkdir(parents=True, exist_ok=True)
+    try:
+        outcome = asyncio.run(run_day(deployment, file, day, seed, plant, folder))
+    except (OSError, NotStarted) as why:
+        click.echo(f"bad-day: {why}", err=True)
+        raise SystemExit(2) from None
+    if as_json:
+        say({"day": day.name, "seed": seed, "took_s": round(outcome.took_s, 1), "verdict": outcome.verdict})
+    else:
+        click.echo(as_text(day, seed, outcome))
+    raise SystemExit(1 if outcome.verdict.broken else 0)
+
+
 @main.command()
 @click.argument("url", type=PLACE)
 @click.argument("title")
--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -161,6 +161,7 @@
         title, place = self._titles[ask.title]
         return Wanted(
             plan,
+            terms.floor,
             min(ask.top, terms.top, self._top),
             place.home,
             place.copies,
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -36,6 +36,7 @@
     """A request for a playback as the door has checked it; times in nanoseconds."""
 
     plan: int
+    floor: int
     top: int
     home: int
     copies: int
@@ -88,7 +89,7 @@
     ) -> None:
         self.number, self.public, self.wanted, self.reply = number, public, wanted, reply
         self.state = "asked"
-        self.rung = 0
+        self.rung = wanted.floor  # until the decisions say otherwise
         self.tries: list[Try] = []
         self.timeline = timeline
         self.abandon = now + wanted.patience
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -27,16 +27,20 @@
 
 def read(file: str | Path) -> Deployment:
     """Evaluate and check a template. Raises BadSettings."""
+    return parse(evaluate(file), str(file))
+
+
+def evaluate(file: str | Path) -> str:
+    """A template's plain JSON text. Raises BadSettings."""
     name = str(file)
     try:
         Path(file).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as why:
         raise BadSettings(name, "file", getattr(why, "strerror", None) or str(why)) from None
     try:
-        plain = rjsonnet.evaluate_file(name)
+        return str(rjsonnet.evaluate_file(name))
     except RuntimeError as why:
         raise BadSettings(name, "template", " ".join(str(why).split())) from None
-    return parse(plain, name)
 
 
 def parse(plain: str, name: str = "settings") -> Deployment:
--- a/burlmast/standin/box.py
+++ b/burlmast/standin/box.py
@@ -59,6 +59,8 @@
         self.rates: dict[str, float] = {}
         self.draining = False
         self._draws = 0
+        self.bears: tuple[float, int] = 1.0, 0  # times its pace, and within what span, that push it over
+        self._came: deque[int] = deque(maxlen=1024)
         self._history: deque[tuple[int, float]] = deque(maxlen=256)
         rack.boxes.append(self)
 
@@ -104,6 +106,16 @@
             return "draining"
         return "full" if self.ails.full or len(self.rates) >= self.places else ""
 
+    def pushed_over(self, now: int) -> bool:
+        """Whether this further set-up is more than a cold process bears."""
+        multiple, span = self.bears
+        if not span or now - self.started >= self._warm_after:
+            return False
+        self._came.append(now)
+        lately = [at for at in self._came if now - at < span]
+        pace = self.places * self.warmed(lately[0]) / self._warm_after
+        return len(lately) > max(1.0, multiple * pace * span)
+
     def fails(self) -> bool:
         """Whether the next set-up fails at once."""
         self._draws += 1
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -118,6 +118,9 @@
         )
         self.streams[stream.key] = stream
         exchange.on_gone = lambda: self.end(stream, False, "closed")
+        if self.box.pushed_over(now):
+            self.fleet.fall(self.box.number)
+            return
         if self.box.ails.mute:
             return
         refusal = self.box.refuses()
@@ -245,6 +248,7 @@
         self.racks = [Rack(fleet.uplink_kb) for _ in range(fleet.racks)]
         self.hosts: dict[int, MediaHost] = {}
         self.rows: dict[int, dict[str, object]] = {}
+        self.fallen: set[int] = set()
         self._next = 0
         self._cold_share, self._warm_after = rules.cold_share, int(rules.warm_after_ms * MS)
         self._ticker: asyncio.TimerHandle | None = None
@@ -299,6 +303,8 @@
             self._warm_after,
             started,
         )
+        rules = self.deployment.rules
+        box.bears = rules.fall_multiple, int(rules.fall_span_ms * MS)
         host = MediaHost(self, box, row)
         await host.start(port)
         wall = time.time_ns() if cold else time.time_ns() - 10 * max(self._warm_after, 1)
@@ -317,7 +323,7 @@
     async def revive(self, number: int) -> None:
         """The process starts again on its port, cold."""
         row = self.rows.get(number)
-        if row is not None and number not in self.hosts:
+        if row is not None and number not in self.hosts and number not in self.fallen:
             port = int(str(row["address"]).rpartition(":")[2])
             await self._run(number, dict(row), True, port)
             self._stands(number, "ready")
@@ -348,11 +354,17 @@
                 setattr(host.box.ails, name, value)
             host.box.ails_since = self.now()
 
-    def heal(self, number: int) -> None:
-        """Nothing ails it any more; mute streams speak again."""
+    def heal(self, number: int, *names: str) -> None:
+        """These ailments are over; a process that has started since never had them."""
         host = self.hosts.get(number)
         if host is not None:
-            host.box.ails = Ailment()
+            for name in names:
+                setattr(host.box.ails, name, getattr(Ailment(), name))
+
+    def fall(self, number: int) -> None:
+        """It was pushed over while it was cold, and stays down."""
+        self.fallen.add(number)
+        self.crash(number)
 
     def _tick(self) -> None:
         now = self.now()
--- a/burlmast/world/plants.py
+++ b/burlmast/world/plants.py
@@ -95,21 +95,36 @@
 
 
 class Deaf(Plant):
-    """Rule 3: drains are not heard."""
+    """Rule 3: drains are not heard, and the emptied hosts are filled again."""
+
+    def __init__(self, maker: Maker, terms: api.Terms, seed: int, now: int) -> None:
+        self.leaving: dict[int, None] = {}
+        super().__init__(maker, terms, seed, now)
 
     def heard(self, event: api.Event) -> api.Event:
         if isinstance(event, api.Listed):
+            for row in event.rows:
+                self.leaving.pop(row.host, None)
+                if row.standing is Standing.DRAINING:
+                    self.leaving[row.host] = None
             rows = tuple(row._replace(standing=Standing.READY) for row in event.rows)
             return api.Listed(event.scope, rows)
         return event
 
+    def done(self, actions: list[api.Action]) -> list[api.Action]:
+        return [
+            one._replace(host=next(iter(self.leaving)))
+            if isinstance(one, api.SetUp) and self.leaving and self.struck(one.pb, 3)
+            else one
+            for one in actions
+        ]
+
 
 class Hasty(Plant):
     """Rule 4: cold hosts are taken for warm ones, and filled first."""
 
     def __init__(self, maker: Maker, terms: api.Terms, seed: int, now: int) -> None:
         self.young: dict[int, api.HostRow] = {}
-        self.wanted: dict[int, api.Request] = {}
         super().__init__(maker, terms, seed, now)
 
     def told(self, terms: api.Terms) -> api.Terms:
@@ -122,23 +137,16 @@
                 self.young.pop(row.host, None)
                 if ready and event.scope is Scope.CHANGES:
                     self.young[row.host] = row
-        elif isinstance(event, api.Arrived):
-            self.wanted[event.request.pb] = event.request
         elif isinstance(event, api.Ended) and event.ending is not Ending.SERVED:
             return event._replace(ending=Ending.ERROR)
         return event
 
     def done(self, actions: list[api.Action]) -> list[api.Action]:
-        return [self.hasten(one) if isinstance(one, api.SetUp) else one for one in actions]
-
-    def hasten(self, one: api.SetUp) -> api.SetUp:
-        """The same set-up, at a young host if one holds the title."""
-        request, cells = self.wanted.pop(one.pb, None), max(1, self.terms.lineup.cells)
-        if request is not None:
-            for row in self.young.values():
-                if (row.cell - request.home) % cells < request.copies:
-                    return one._replace(host=row.host)
-        return one
+        youngest = max(self.young.values(), key=lambda row: row.started, default=None)
+        return [
+            one._replace(host=youngest.host) if isinstance(one, api.SetUp) and youngest else one
+            for one in actions
+        ]
 
 
 class Low(Plant):
@@ -154,7 +162,20 @@
 
 
 class Tireless(Plant):
-    """Rule 6: the budget for further tries is not known."""
+    """Rule 6: the budget for further tries is not known, and hosts that fail are tried again and again."""
+
+    def __init__(self, maker: Maker, terms: api.Terms, seed: int, now: int) -> None:
+        self.harmless: set[int] = set()
+        super().__init__(maker, terms, seed, now)
+
+    def heard(self, event: api.Event) -> api.Event:
+        if isinstance(event, api.Arrived):
+            plan = self.terms.plans[event.request.plan]
+            if plan.repeat is api.Repeat.FREELY:
+                self.harmless.add(event.request.pb)
+        elif isinstance(event, api.Ended) and event.ending is Ending.ERROR and event.pb in self.harmless:
+            return event._replace(ending=Ending.MOOT)
+        return event
 
     def told(self, terms: api.Terms) -> api.Terms:
         rules = replace(terms.rules, further_free=None)
--- a/burlmast/world/troubles.py
+++ b/burlmast/world/troubles.py
@@ -110,8 +110,8 @@
     "standard",
     44.0,
     (
-        Trouble("fast errors", 4, 10, 0.25, 0.9),
-        Trouble("replaced", 6, 9, 0.17, 1, 1.2),
+        Trouble("fast errors", 4, 12, 0.34, 0.9),
+        Trouble("replaced", 6, 9, 0.17, 1, 3),
         Trouble("short links", 8, 9, 0.25, 3),
         Trouble("burst", 10, 5, 1, 2),
         Trouble("restarts", 13, 9, 0.67, 0.8),
--- a/deploy/samples/base.libsonnet
+++ b/deploy/samples/base.libsonnet
@@ -7,8 +7,8 @@
   ],
   rules: {
     drain_grace_ms: 1000,
-    cold_share: 0.4,
-    warm_after_ms: 4000,
+    cold_share: 0.3,
+    warm_after_ms: 5000,
     fall_multiple: 3,
     fall_span_ms: 1000,
   },
