--- a/burlmast/edge/limits.py
+++ b/burlmast/edge/limits.py
@@ -54,8 +54,10 @@
 
     def standing(self, address: str, more: float) -> str:
         """Whether the address, with so much more, has at most an equal part."""
-        others = len(self.by_address) + (address not in self.by_address)
-        return "within" if self.by_address[address] + more <= max(more, self.most / others) else "over"
+        # Danger: an address that is alone here would else fill the room before another comes.
+        parts = len(self.by_address) + (address not in self.by_address) + 1
+        has = self.by_address.get(address, 0)
+        return "within" if has + more <= max(more, self.most / parts) else "over"
 
     def take(self, address: str, known: bool, more: float = 1) -> bool:
         """Take so much for this address, if it may."""
@@ -63,8 +65,6 @@
         has = self.by_address.get(address, 0)
         allowed = ADMITS[self.level(more), acquaintance, self.standing(address, more)]
         if not allowed or has + more > self._each:
-            if not has:
-                self.by_address.pop(address, None)
             return False
         self.taken += more
         self.by_address[address] += more  # type: ignore[assignment]
--- a/burlmast/http1/server.py
+++ b/burlmast/http1/server.py
@@ -206,6 +206,7 @@
         if self.finished or self._started:
             return
         self._started = True
+        self.keep_alive = self.keep_alive and self._body_done
         length = () if status in BODILESS else ((b"content-length", b"%d" % len(body)),)
         head = self._head(status, (*headers, *length))
         # Danger: a HEAD request or a bodiless status with a body would shift every later answer.
@@ -220,8 +221,6 @@
     def refuse(self, status: int, why: str, headers: Headers = ()) -> None:
         """An error with one JSON line; the connection closes where the rest of the request is still to
         come."""
-        if not self._body_done:
-            self.keep_alive = False
         self.json(status, {"error": why}, headers)
 
     def start(self, status: int, headers: Headers = ()) -> None:
@@ -247,13 +246,13 @@
         self._connection.abort()
 
     def _head(self, status: int, headers: Headers) -> bytes:
-        if not self._body_done and not self._connection.over:
-            self.keep_alive = False
         last = b"" if self.keep_alive else b"connection: close\r\n"
         return STATUS_LINES[status] + encode_headers(headers) + last + b"\r\n"
 
     def _end(self) -> None:
         self.finished = True
+        # Danger: what is left of an unread body would be taken for the next request.
+        self.keep_alive = self.keep_alive and self._body_done
         self.on_gone = self.on_writable = self._then = self._sink = None
         self._forget()
         self._connection.answered(self)
@@ -273,7 +272,7 @@
         self._queue: deque[Exchange] = deque()
         self._coming: Exchange | None = None  # the one whose head or body is being read
         self._in_head = False
-        self._head_bytes = self._body_bytes = 0
+        self._head_bytes = self._head_size = self._body_bytes = 0
         self._reading = True
         self._let_in = False
         self._closing = False
@@ -374,13 +373,15 @@
             return
         if not self._server.gate.head_began(self.address):
             raise _TooMuch(503, "too many requests are coming in; come again shortly")
-        self._in_head, self._head_bytes, self._url = True, 0, b""
+        self._in_head, self._url = True, b""
+        self._head_bytes = self._head_size = 0
         self._coming = Exchange(self)
         if not self._queue:
             self._wait("head", self._bounds.head_s)
 
     def on_url(self, url: bytes) -> None:
         self._url += url
+        self._weigh(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._coming is None:
@@ -388,8 +389,14 @@
         if len(self._coming.headers) >= self._bounds.headers:
             raise _TooMuch(431, f"more than {self._bounds.headers} header lines")
         if self._in_head:
+            self._weigh(len(name) + len(value) + 4)
             self._coming.headers.append((name.lower(), value.strip()))
 
+    def _weigh(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > self._bounds.head:
+            raise _TooMuch(431, f"the head is longer than {self._bounds.head} bytes")
+
     def on_headers_complete(self) -> None:
         coming = self._coming
         if coming is None or self._closing:
@@ -404,6 +411,8 @@
         coming.expects = (coming.header(b"expect") or b"").lower() == b"100-continue"
         if version == "1.1" and sum(1 for name, _ in coming.headers if name == b"host") != 1:
             raise _TooMuch(400, "exactly one Host header is needed")
+        if self._parser.should_upgrade():
+            raise _TooMuch(400, "no other protocol is spoken here")
         self._queue.append(coming)
         names = {name for name, _ in coming.headers}
         coming.bodiless = not names & {b"content-length", b"transfer-encoding"}
