--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -247,7 +247,8 @@
         self.log.info("stopping", held=self.driver.asked, playing=self.driver.playing)
         self.door.closing = True
         self.ready = False
-        self.viewers.stop_listening()
+        # The door stays open: what plays goes on reading its playlist, and new requests hear where they
+        # stand.
         self._wind_down(self.loop.time() + self.deployment.edge.leave_after_ms / 1000)
 
     def _wind_down(self, until: float) -> None:
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -16,6 +16,7 @@
 
 MS = 1_000_000
 PATH = re.compile(r" - at `\$\.?([^`]*)`$")
+FIELD = re.compile(r"(?:missing required|unknown) field `([^`]*)`")
 
 
 class BadSettings(Exception):
@@ -50,7 +51,9 @@
     except msgspec.ValidationError as why:
         place = PATH.search(str(why))
         what = str(why)[: place.start()] if place else str(why)
-        raise BadSettings(name, place[1] if place and place[1] else "settings", what) from None
+        field = FIELD.search(what)
+        key = ".".join(part for part in (place[1] if place else "", field[1] if field else "") if part)
+        raise BadSettings(name, key or "settings", what) from None
     except msgspec.DecodeError as why:
         raise BadSettings(name, "template", str(why)) from None
     for key, what in faults(found):
--- a/burlmast/world/troubles.py
+++ b/burlmast/world/troubles.py
@@ -5,16 +5,12 @@
 
 from __future__ import annotations
 
-import zlib
+import random
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 import msgspec
 
-from burlmast.world.traffic import Record  # noqa: F401  (part of what a day is made of)
-
-SECOND = 1_000_000_000
-
 
 class Kind(NamedTuple):
     """A kind of trouble: what it strikes, and what `size` and `extra` mean for it."""
@@ -93,8 +89,7 @@
 
 def struck(things: Sequence[int], part: float, seed: int, place: int) -> list[int]:
     """Which of these a trouble strikes: one at least, by the seed and the trouble's place in the day."""
-    ranked = sorted(things, key=lambda one: (zlib.crc32(f"{seed}:{place}:{one}".encode()), one))
-    return sorted(ranked[: max(1, round(part * len(things)))])
+    return sorted(random.Random(f"{seed}:{place}").sample(sorted(things), max(1, round(part * len(things)))))
 
 
 def edges(day: Day) -> Iterator[tuple[float, int, bool]]:
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -136,7 +136,7 @@
 
 @pytest.mark.parametrize("unsent", ["unlisted", "too many"])
 def test_a_try_that_is_not_sent_is_moot(unsent: str) -> None:
-    driver, outside, script = driving()
+    driver, _outside, script = driving()
     host = 99 if unsent == "unlisted" else 1
     script.answers[api.Arrived] = lambda event: [api.SetUp(event.request.pb, host, 0)] * 4
     driver.arrive(START, WANTED, "reply")
