--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -46,7 +46,7 @@
     b'{"playback":"p","attempt":0,"gateway":0,"title":"call-01","plan":0,"rung":1,"rate":420.0,"lasts":9.0}'
 )
 HOSTS, HOST_PROCESSES, LOADERS = 12, 2, 2
-CORES = os.cpu_count()
+CORES, PYTHON = os.cpu_count(), sys.version.split()[0]
 
 
 def deployment(unheard: float) -> Deployment:
@@ -413,9 +413,7 @@
 
 
 def measure(rounds: int, seconds: float, playing: int) -> None:
-    print(
-        f"one process measured, {CORES} cores, Python {sys.version.split()[0]}, {rounds} rounds of {seconds} s"
-    )
+    print(f"one process measured, {CORES} cores, Python {PYTHON}, {rounds} rounds of {seconds} s")
     hosts = [Child("host", 0) for _ in range(HOST_PROCESSES)]
     ports = [one.line()["port"] for one in hosts]
     kinds = ("bare", "hop", "null", "full")
@@ -469,9 +467,7 @@
             raise RuntimeError(f"stuck at {got} playing, {failed} failed")
         count = got
     after = rss_kb(one.process.pid)
-    print(
-        f"\nmemory: {count} playing, {(after - before) / count:.1f} kB a held playback ({before} to {after} kB)"
-    )
+    print(f"\nmemory: {count} playing, {(after - before) / count:.1f} kB each ({before} to {after} kB)")
     print(f"longest stall of the loop meanwhile: {stall(place['operators']) * 1000:.1f} ms")
     for child in (one, *hosts):
         child.close()
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -284,8 +284,25 @@
         raise NotADay(str(why)) from None
 
 
+def read_bench_day(file: str) -> Day:
+    """The kinds of trouble of a bench day. Raises NotADay."""
+    from burlmast.world.benchday import from_bench
+    from burlmast.world.troubles import NotADay
+
+    try:
+        day, left_out = from_bench(Path(file).read_bytes())
+    except OSError as why:
+        raise NotADay(why.strerror or str(why)) from None
+    for kind in left_out:
+        click.echo(f"{file}: {kind}: sockets here cannot show it; left out", err=True)
+    return day
+
+
 @main.command("bad-day")
 @click.argument("name", default="standard")
+@click.option(
+    "--bench", is_flag=True, help="NAME is a day file of the bench; its kinds of trouble are played."
+)
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
@@ -293,7 +310,9 @@
 @click.option(
     "--logs", type=click.Path(file_okay=False), default=None, help="A folder for the gateways' logs."
 )
-def bad_day(name: str, seed: int, file: str, as_json: bool, plant: int | None, logs: str | None) -> None:
+def bad_day(
+    name: str, bench: bool, seed: int, file: str, as_json: bool, plant: int | None, logs: str | None
+) -> None:
     """Play the day NAME (standard, short, quiet, or a file that scripts one) and judge it from the traffic.
 
     Ends with 0 where the six rules held, with 1 where one was broken, with 2 where the day cannot be played.
@@ -305,7 +324,7 @@
 
     deployment = settings(file)
     try:
-        day = DAYS.get(name) or read_day(name)
+        day = read_bench_day(name) if bench else DAYS.get(name) or read_day(name)
     except NotADay as why:
         click.echo(f"{name}: {why}", err=True)
         raise SystemExit(2) from None
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -13,6 +13,7 @@
 
 from burlmast.badday.day import BEGINS, ENDS, rulebook
 from burlmast.world.audit import Rulebook, Verdict, audit
+from burlmast.world.benchday import MATCHES, from_bench
 from burlmast.world.traffic import (
     Answered,
     Asked,
@@ -189,6 +190,43 @@
         check(Day("d", 10, (trouble,)))
 
 
+def bench_day(**changes: object) -> bytes:
+    troubles = [
+        {"kind": "hang", "at": 2e6, "len": 3e6, "on": [0, 3]},
+        {
+            "kind": "preempt",
+            "at": 4e6,
+            "len": 5e6,
+            "size": 1.5,
+            "on": [],
+            "steps": [{"stop": [1]}, {"stop": [2, 5]}],
+        },
+        {"kind": "balancer_stall", "at": 5e6, "len": 4e6, "size": 1200, "on": [0]},
+        {"kind": "burst", "at": 1e6, "len": 2e6, "size": 1.7, "on": []},
+        {"kind": "peer_down", "at": 1e6, "len": 2e6},
+    ]
+    whole = {"length": 12e6, "servers": [{}] * 10, "balancers": [{}] * 2, "troubles": troubles, "noise": 4}
+    return msgspec.json.encode(whole | changes)
+
+
+def test_a_bench_day_is_played_by_its_kinds() -> None:
+    day, left_out = from_bench(bench_day())
+    assert day.lasts == 12 and left_out == ["peer_down"]
+    assert day.troubles == (
+        Trouble("standstill", 2, 3, 0.2),
+        Trouble("replaced", 4, 5, 0.3, 1, 1.5),
+        Trouble("stalls", 5, 4, 0.5, 1.2),
+        Trouble("burst", 1, 2, 1, 1.7),
+    )
+    assert {match.kind for match in MATCHES.values()} <= set(KINDS)
+
+
+@pytest.mark.parametrize("text", [b"", b"{}", b"[1]", bench_day(length="long"), bench_day(length=9e9)])
+def test_what_is_no_bench_day_is_refused(text: bytes) -> None:
+    with pytest.raises(NotADay):
+        from_bench(text)
+
+
 def cli(*words: str) -> list[str]:
     return [sys.executable, "-m", "burlmast", *words]
 
