A peer that asks on and never reads is no longer answered on

Danger found while reading the issue again: answers to pipelined requests piled up in the transport of a peer that does not read.

Change: nothing is handed over or read while writing is paused; the queue goes on when the peer has read.

--- a/burlmast/edge/words.py
+++ b/burlmast/edge/words.py
@@ -90,4 +90,4 @@
 def split_address(address: str) -> tuple[str, int]:
     """Name and port."""
     name, _, port = address.rpartition(":")
-    return name, int(port)
+    return name.strip("[]"), int(port)
--- a/burlmast/http1/server.py
+++ b/burlmast/http1/server.py
@@ -87,6 +87,7 @@
         "_body_done",
         "_chunked",
         "_connection",
+        "_dispatched",
         "_held",
         "_limit",
         "_paused",
@@ -122,7 +123,7 @@
         self._sink: Callable[[bytes | None], None] | None = None
         self._body_done = False
         self._paused = False
-        self._started = False
+        self._started = self._dispatched = False
         self._chunked = False
 
     @property
@@ -362,12 +363,15 @@
     def pause_writing(self) -> None:
         self.write_paused = True
         self._wait("write", self._bounds.write_s)
+        self.regulate()
 
     def resume_writing(self) -> None:
         self.write_paused = False
         self._settle_wait()
         if self._queue and self._queue[0].on_writable:
             self._queue[0].on_writable()
+        if not self._dispatching:
+            self._advance()
 
     # The parser's side.
 
@@ -419,7 +423,7 @@
             raise _TooMuch(400, "no other protocol is spoken here")
         self._queue.append(coming)
         coming.bodiless = b"content-length" not in names and b"transfer-encoding" not in names
-        if len(self._queue) == 1 and not coming.bodiless:
+        if len(self._queue) == 1 and not coming.bodiless and not self.write_paused:
             self._dispatch()
 
     def on_body(self, data: bytes) -> None:
@@ -439,16 +443,17 @@
             return
         coming._body_done = True
         if self._queue and coming is self._queue[0]:
-            if coming.bodiless:
-                self._dispatch()
-            else:
+            if coming._dispatched:
                 self._settle_wait()
                 coming._pump()
+            elif not self.write_paused:
+                self._dispatch()
 
     # Between the two.
 
     def _dispatch(self) -> None:
         exchange = self._queue[0]
+        exchange._dispatched = True
         if exchange is self._coming:
             self._wait("body", self._bounds.body_s)
         else:
@@ -475,7 +480,8 @@
         # A loop and not a recursion: a peer may pipeline a buffer full of small requests.
         self._dispatching = True
         try:
-            while self._queue and not self._queue[0]._started and not self._closing:
+            # Danger: a peer that asks on and on and never reads would have its answers pile up here.
+            while self._queue and not self._queue[0]._dispatched and not (self._closing or self.write_paused):
                 first = self._queue[0]
                 self._dispatch()
                 if self._queue and self._queue[0] is first:
@@ -510,6 +516,7 @@
             return
         first = self._queue[0] if self._queue else None
         waits = len(self._queue) > 1 or (first is not None and (first._paused or self._idle_body(first)))
+        waits = waits or self.write_paused
         if waits == self._reading and not self._closing:
             self._reading = not waits
             if waits:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -283,6 +284,41 @@
     asyncio.run(run())
 
 
+def test_a_peer_that_asks_on_and_never_reads_is_not_answered_on() -> None:
+    async def run() -> None:
+        asked = []
+
+        def application(exchange: Exchange) -> None:
+            asked.append(1)
+            exchange.respond(200, (), bytes(50_000))
+
+        server, pool, address = await serving(application)
+        peer = socket.create_connection(address)
+        peer.setblocking(False)
+        sent, whole = 0, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 20_000
+        for _ in range(100):
+            with contextlib.suppress(BlockingIOError):
+                sent += peer.send(whole[sent:])
+            await asyncio.sleep(0.002)
+        connection = next(iter(server.connections))
+        assert connection.transport.get_write_buffer_size() < 200_000  # type: ignore[union-attr]
+        assert len(asked) < 2000
+        before = len(asked)
+
+
+        def drink() -> bool:  # once it reads, it is answered on
+            with contextlib.suppress(BlockingIOError):
+                peer.recv(1 << 20)
+            return len(asked) > before + 20
+
+        await until(drink)
+        peer.close()
+        server.close()
+        pool.close()
+
+    asyncio.run(run())
+
+
 def test_a_reader_that_stays_away_is_cut_off() -> None:
     async def run() -> None:
         gone = []
