Titles are quoted in playlists

Danger found while reading the change again: a title with a line break wrote lines of its own into the playlist.

Change: quoted as one path segment; a test shows it.

Measured: 38 core tests pass.

--- a/burlmast/edge/timeline.py
+++ b/burlmast/edge/timeline.py
@@ -7,6 +7,7 @@
 
 from collections import deque
 from typing import NamedTuple
+from urllib.parse import quote
 
 
 class Segment(NamedTuple):
@@ -24,7 +25,8 @@
     def __init__(self, title: str, segment: int, window: int, ahead: int) -> None:
         """`segment` is the target duration in nanoseconds; `window` segments are listed, `ahead` beyond
         now."""
-        self.title, self.segment = title, segment
+        # Danger: a title with a line break would write lines of its own into the playlist.
+        self.title, self.segment = quote(title, safe=""), segment
         self._window, self._ahead = window, ahead
         self._shown: deque[Segment] = deque(maxlen=window)
         self._published = 0
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -389,6 +389,13 @@
     )
 
 
+def test_a_title_cannot_write_lines_of_its_own() -> None:
+    line = Timeline("a b/c\n#EXT-X-ENDLIST", 2 * SECOND, 4, 1)
+    line.begin(START, "h:1", 0)
+    text = line.playlist(START).decode()
+    assert "#EXT-X-ENDLIST" not in text and "/a%20b%2Fc%0A%23EXT-X-ENDLIST/0/0.m4s" in text
+
+
 # Dialling the list again.
 
 
