The audit judges plans that may be repeated within a zone or a cell

Need: rule 2 has three kinds of plan and the audit knew two in full.

Change: hosts' zones and cells are in the traffic; a try outside the group, and a rejection of what may have run there, break the rule.

--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -314,7 +314,7 @@
         wall = time.time_ns() if cold else time.time_ns() - 10 * max(self._warm_after, 1)
         row.update(address=host.address, standing="ready", started=wall)
         self.hosts[number], self.rows[number] = host, row
-        self.record(HostUp(now, number, places, cold))
+        self.record(HostUp(now, number, places, cold, int(str(row["zone"])), cell))
         return host
 
     def crash(self, number: int) -> None:
--- a/burlmast/world/audit.py
+++ b/burlmast/world/audit.py
@@ -251,9 +251,19 @@
                         self.say(2, "sent again though it may have run", earlier.came, later.came)
                     elif later.came.at - earlier.came.at > plan.repeat_span + self.book.tolerance:
                         self.say(2, "sent again too late for its plan", earlier.came, later.came)
-            if plan.repeat is Repeat.NEVER and risky and playback in rejected:
+                    elif not self._same_group(plan.repeat_group, earlier.came.host, later.came.host):
+                        self.say(2, f"sent again in another {plan.repeat_group}", earlier.came, later.came)
+            bound = plan.repeat is Repeat.NEVER or plan.repeat_group != "all"
+            if bound and risky and playback in rejected:
                 self.say(2, "rejected though it may have run", risky[0].came, rejected[playback])
 
+    def _same_group(self, group: str, one: int, other: int) -> bool:
+        if group == "all":
+            return True
+        places = {up.host: (up.zone, up.cell) for up in self._by[HostUp]}
+        kind = 0 if group == "zone" else 1
+        return one in places and other in places and places[one][kind] == places[other][kind]
+
     def drains(self) -> None:
         """Rule 3."""
         told: dict[tuple[int, int], list[Told]] = defaultdict(list)
--- a/burlmast/world/traffic.py
+++ b/burlmast/world/traffic.py
@@ -95,6 +95,8 @@
     host: int
     places: int
     cold: bool
+    zone: int = 0
+    cell: int = 0
 
 
 class GatewayIs(NamedTuple):
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -11,6 +11,7 @@
 import pytest
 from town import SAMPLES, sample
 
+from burlmast.api import Repeat
 from burlmast.badday.day import BEGINS, ENDS, rulebook
 from burlmast.world.audit import Rulebook, Verdict, audit
 from burlmast.world.benchday import MATCHES, from_bench
@@ -108,6 +109,29 @@
     assert judged(*records).rules == ([2] if broken else [])
 
 
+@pytest.mark.parametrize(
+    ("group", "zone", "after", "broken"),
+    [
+        ("all", 1, 1, False),
+        ("zone", 0, 1, False),
+        ("zone", 1, 1, True),
+        ("cell", 0, 1, True),
+        ("zone", 0, 9, True),
+    ],
+)
+def test_rule_2_for_a_plan_that_may_be_repeated_within_a_group(
+    group: str, zone: int, after: int, broken: bool
+) -> None:
+    plan = book().plans[2]._replace(repeat=Repeat.WITHIN_GROUP, repeat_group=group)
+    rules = book()._replace(plans=(*book().plans[:2], plan))
+    hosts = [HostUp(0, 1, 30, False, 0, 1), HostUp(0, 2, 30, False, zone, 2)]
+    tries = [came(1, plan=2), over(1.1), came(1 + after, 2, "p", 1, 2)]
+    verdict = audit([GatewayIs(0, 0, "up"), *hosts, *tries], rules)
+    assert verdict.rules == ([2] if broken else [])
+    refused = audit([asked(1, plan=2), *hosts, *tries[:2], plays(1.3, status=503)], rules)
+    assert refused.rules == ([2] if group != "all" else [])
+
+
 @pytest.mark.parametrize(
     ("records", "broken"),
     [
