A stopped gateway's backlog is answered once each: the test on processes

Change: a test; nothing else.

Measured: 40 answers, 201 or 503 each, counted one for one on the operators' listener.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import re
 import signal
 import subprocess
 import sys
@@ -12,6 +14,9 @@
 import pytest
 from town import SAMPLES
 
+from burlmast.http1.client import Pool, Whole
+from burlmast.standin.viewer import JSON
+
 TRAINING = str(SAMPLES / "training.jsonnet")
 
 
@@ -80,3 +85,53 @@
 def test_wrong_words_end_with_a_line_that_says_why(words: list[str], code: int, said: str) -> None:
     done = cli(*words)
     assert done.returncode == code and said in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_gateway_that_stood_still_answers_its_backlog_once_each() -> None:
+    async def ask(pool: Pool, gateway: tuple[str, int], place: int) -> int:
+        body = msgspec.json.encode(
+            {"title": "unit-01", "plan": "explainer", "viewer": f"v{place}", "lasts": 9}
+        )
+        status, _, _ = await Whole.of(pool, gateway, b"POST", b"/v1/playbacks", JSON, body, within=20)
+        return status
+
+    async def run(edge: subprocess.Popen, gateway: tuple[str, int]) -> list[int]:
+        pool = Pool(connect_s=5)
+        try:
+            # Some are held when it stops, some come while it stands.
+            held = [asyncio.ensure_future(ask(pool, gateway, place)) for place in range(10)]
+            await asyncio.sleep(0)
+            edge.send_signal(signal.SIGSTOP)
+            came = [asyncio.ensure_future(ask(pool, gateway, place)) for place in range(10, 40)]
+            await asyncio.sleep(2.0)  # the standstill itself
+            edge.send_signal(signal.SIGCONT)
+            return await asyncio.gather(*held, *came)
+        finally:
+            edge.send_signal(signal.SIGCONT)
+            pool.close()
+
+    with running("list") as (_, listed):
+        where = listed["list"].removeprefix("http://")
+        with (
+            running("host", "--settings", TRAINING, "--list", where),
+            running("edge", "--settings", TRAINING, "--list", where) as (edge, said),
+        ):
+            plays(said["gateway"], "unit-01")
+            name, _, port = said["gateway"].removeprefix("http://").partition(":")
+            statuses = asyncio.run(run(edge, (name, int(port))))
+            assert len(statuses) == 40 and set(statuses) <= {201, 503} and statuses.count(201) >= 1
+            port = int(said["operators"].rpartition(":")[2])
+            figures = asyncio.run(scrape(port))
+            assert figures["asked"] == figures["plays"] + figures.get("rejected", 0), "one answer each"
+            assert figures.get("cut", 0) == 0
+
+
+async def scrape(port: int) -> dict[str, int]:
+    """What happened, by kind, as the operators' listener has it."""
+    pool = Pool()
+    try:
+        _, _, text = await Whole.of(pool, ("127.0.0.1", port), b"GET", b"/metrics")
+    finally:
+        pool.close()
+    found = re.findall(r'burlmast_happened_total\{what="([^"]+)"\} ([0-9.]+)', text.decode())
+    return {what: int(float(count)) for what, count in found}
