--- a/burlmast/badday/report.py
+++ b/burlmast/badday/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burlmast.badday.day import Outcome
+from burlmast.world.audit import Verdict
 from burlmast.world.troubles import Day
 
 SHOWN = 3
@@ -10,11 +11,15 @@
 
 def as_text(day: Day, seed: int, outcome: Outcome) -> str:
     """What happened, what it came to, and the traffic that shows each broken rule."""
-    verdict = outcome.verdict
     lines = [f"day {day.name}, seed {seed}, {outcome.took_s:.1f} s, {len(day.troubles)} troubles"]
     for trouble in day.troubles:
         lines.append(f"  {trouble.start:5.1f} to {trouble.start + trouble.lasts:5.1f} s  {trouble.kind}")
-    lines += [
+    return "\n".join(lines + verdict_lines(outcome.verdict))
+
+
+def verdict_lines(verdict: Verdict) -> list[str]:
+    """The verdict, and the traffic that shows each broken rule."""
+    lines = [
         f"asked {verdict.asked}: plays {verdict.plays}, rejected {verdict.rejected}, "
         f"aborted {verdict.aborted}, unanswered {verdict.unanswered} "
         f"({verdict.excused} excused: their gateway was down or stopped)",
@@ -29,4 +34,4 @@
         for one in found[:SHOWN]:
             lines.append(f"  {one.what}")
             lines += [f"    {line}" for line in one.lines]
-    return "\n".join(lines)
+    return lines
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -343,6 +343,47 @@
     raise SystemExit(1 if outcome.verdict.broken else 0)
 
 
+@main.group()
+def model() -> None:
+    """Fleets in virtual time."""
+
+
+@model.command("run")
+@click.argument("name", default="standard")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option(
+    "--gateways", type=click.IntRange(1, 1000), default=None, help="In place of the settings' number."
+)
+@click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
+def model_run(name: str, seed: int, file: str, gateways: int | None, as_json: bool) -> None:
+    """Play the day NAME in virtual time and judge it; exit codes are those of bad-day.
+
+    The same words print the same line.
+    """
+    from burlmast.badday.day import rulebook
+    from burlmast.badday.report import verdict_lines
+    from burlmast.logic import Gateway
+    from burlmast.model.day import play
+    from burlmast.model.ground import ground
+    from burlmast.world.troubles import DAYS, NotADay
+
+    deployment = settings(file)
+    if gateways:
+        deployment = msgspec.structs.replace(deployment, gateways=gateways)
+    try:
+        day = DAYS.get(name) or read_day(name)
+    except NotADay as why:
+        click.echo(f"{name}: {why}", err=True)
+        raise SystemExit(2) from None
+    verdict, _ = play(ground(deployment, day.load), day, seed, Gateway, rulebook(deployment))
+    if as_json:
+        say({"day": day.name, "seed": seed, "verdict": verdict})
+    else:
+        click.echo("\n".join([f"day {day.name}, seed {seed}, in virtual time", *verdict_lines(verdict)]))
+    raise SystemExit(1 if verdict.broken else 0)
+
+
 @main.command()
 @click.argument("url", type=PLACE)
 @click.argument("title")
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -10,7 +10,7 @@
 
 from burlmast.http1.server import Bounds, Exchange, Server
 from burlmast.settings.sheets import Deployment
-from burlmast.standin.box import Ailment, Box, Rack, true_rate
+from burlmast.world.box import Ailment, Box, Rack, true_rate
 from burlmast.world.traffic import HostUp, Record, RungSet, TryCame, TryOver
 
 MS = 1_000_000
