The modelled list tells what changed at one instant in one piece

Cause: 26 hosts lost at once were 26 events at each of 400 gateways, each of which looks at all hosts.

Change: one event for each instant, as a list tells it.

--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -192,6 +192,7 @@
         self._requests = self._viewers = 0
         self._short: dict[tuple[int, int], bool] = {}
         self._next_host = 0
+        self._news: dict[int, dict[int, api.HostRow]] = {}
         weights = [1 / (place + 1) ** 0.7 for place in range(len(ground.titles))]
         self._weights = weights
 
@@ -275,14 +276,22 @@
     def stands(self, number: int, standing: Standing) -> None:
         """The list will say so."""
         self.rows[number] = self.rows[number]._replace(standing=standing)
-        self.engine.after(self.list_delay, self._push, self.rows[number])
-
-    def _push(self, row: api.HostRow) -> None:
-        self.told_rows[row.host] = row
+        due = self.now + self.list_delay
+        if due not in self._news:
+            self._news[due] = {}
+            self.engine.at(due, self._push, due)
+        self._news[due][number] = self.rows[number]
+
+    def _push(self, due: int) -> None:
+        """What changed at one instant is told in one piece, as a list does."""
+        rows = self._news.pop(due)
+        self.told_rows.update(rows)
+        news = api.Listed(Scope.CHANGES, tuple(rows.values()))
         for seat in self.seats:
             if seat.policy is not None:
-                self.record(Told(self.now, seat.number, row.host, row.standing.value))
-                seat.when_runs(seat.life, seat.hear, api.Listed(Scope.CHANGES, (row,)))
+                for row in news.rows:
+                    self.record(Told(self.now, seat.number, row.host, row.standing.value))
+                seat.when_runs(seat.life, seat.hear, news)
 
     # Setup tries.
 
