--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -15,6 +15,7 @@
 from burlmast import api
 from burlmast.api import Ending, News, Scope, Standing
 from burlmast.model.engine import Engine
+from burlmast.recall.core import Recall
 from burlmast.world.box import Ailment, Box, Rack, true_rate
 from burlmast.world.traffic import (
     Answered,
@@ -71,6 +72,8 @@
     list_delay: int
     tell_every: int
     deliver_every: int
+    honour: float = 1.0  # the part of viewers who heed advice
+    recall: bool = False  # advice by `burlmast.recall` in place of the decisions' own
 
 
 class Viewer:
@@ -78,7 +81,7 @@
 
     def __init__(self, number: int, plan: int, title: int, top: int, lasts: int, dice: random.Random) -> None:
         self.number, self.plan, self.title, self.top, self.dice = number, plan, title, top, dice
-        self.left = lasts
+        self.wanted = self.left = lasts
         self.visits = 0
 
 
@@ -112,6 +115,7 @@
         self.life = f"g{number}.0"
         self.lives = 0
         self.policy: Decides | None = None
+        self.recall = Recall(1, 0)
         self.playbacks: dict[int, Playback] = {}
         self.count = 0
         self.stopped: list[tuple[Callable[..., None], tuple[object, ...]]] | None = None
@@ -125,6 +129,7 @@
         fleet.record(GatewayIs(fleet.now, self.number, "up"))
         seed = fleet.dice.getrandbits(60)
         self.policy = fleet.maker(fleet.ground.terms(self.number), seed, fleet.now)
+        self.recall = Recall(max(1, fleet.terms.allowed.longest_advice), seed)
         self.carry_out(self.policy.begin(fleet.now))
         self.hear(api.Listed(Scope.CACHED, tuple(fleet.told_rows.values())))
 
@@ -190,6 +195,7 @@
         self.list_delay = ground.list_delay
         self.crowd: tuple[float, int] | None = None
         self._requests = self._viewers = 0
+        self.viewers: list[Viewer] = []
         self._short: dict[tuple[int, int], bool] = {}
         self._next_host = 0
         self._news: dict[int, dict[int, api.HostRow]] = {}
@@ -363,6 +369,7 @@
                 seat.hear(api.Note(playback.number, stream.attempt, stream.host, news, value))
         words = (playback.number, stream.attempt, stream.host)
         self.record(Answered(self.now, playback.request, 201, stream.name, playback.rung))
+        seat.recall.played(self.now)
         seat.hear(api.Flowing(*words, self.now - stream.sent))
         self.engine.after(playback.viewer.left, self._watched, stream)
 
@@ -489,6 +496,7 @@
             top = max(terms.floor, top - 1)
         lasts = int(dice.uniform(*self.ground.lasts) * SECOND)
         viewer = Viewer(self._viewers, plan, title, top, lasts, random.Random(dice.getrandbits(60)))
+        self.viewers.append(viewer)
         self._ask(viewer)
         self.engine.after(int(dice.expovariate(self.rate) * SECOND), self._arrive)
 
@@ -545,7 +553,9 @@
         if playback.stream is None or playback.stream.over:
             seat.playbacks.pop(pb, None)
         if status == 503:
-            self._again(playback.viewer, wait)
+            self._again(
+                playback.viewer, seat.recall.advise(self.now) if wait and self.ground.recall else wait
+            )
 
     def _give_up(self, seat: Seat, life: str, playback: Playback) -> None:
         if playback.state == "asked":
@@ -559,8 +569,14 @@
 
     def _again(self, viewer: Viewer, advice: int) -> None:
         if viewer.visits < self.VISITS and self.now < self.until:
-            pause = max(advice, int(viewer.dice.uniform(0.4, 1.4) * SECOND))
-            self.engine.after(pause, self._ask, viewer)
+            heeds = advice and viewer.dice.random() < self.ground.honour
+            pause = int(viewer.dice.uniform(0.1, 0.5) * SECOND)
+            self.engine.after(advice + pause // 10 if heeds else pause, self._ask, viewer)
+
+    def watched(self) -> float:
+        """The part of what viewers wanted to watch that they did."""
+        wanted = sum(viewer.wanted for viewer in self.viewers)
+        return 1 - sum(max(0, viewer.left) for viewer in self.viewers) / max(1, wanted)
 
     # Gateways.
 
