--- a/benchmarks/recall.py
+++ b/benchmarks/recall.py
@@ -39,7 +39,7 @@
     fleet_terms = replace(one.fleet, streams_by_kind=(9,))  # few places, so that hosts turn set-ups away
     one = replace(one, fleet=fleet_terms, allowed=replace(one.allowed, longest_advice_ms=2000.0))
     records: list[Record] = []
-    place = ground(one, 1.6)._replace(honour=honour, recall=recall)
+    place = ground(one, 1.6)._replace(honour=honour, recall=recall, pause=(0.1, 0.5))
     fleet = Fleet(place, Gateway, seed, records.append)
     fleet.begin(int(DAY.lasts * S))
     Script(fleet, DAY, seed).schedule(fleet.until - int(DAY.lasts * S))
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -73,6 +73,7 @@
     tell_every: int
     deliver_every: int
     honour: float = 1.0  # the part of viewers who heed advice
+    pause: tuple[float, float] = (0.4, 1.4)  # seconds after which a viewer comes again by itself
     recall: bool = False  # advice by `burlmast.recall` in place of the decisions' own
 
 
@@ -570,8 +571,8 @@
     def _again(self, viewer: Viewer, advice: int) -> None:
         if viewer.visits < self.VISITS and self.now < self.until:
             heeds = advice and viewer.dice.random() < self.ground.honour
-            pause = int(viewer.dice.uniform(0.1, 0.5) * SECOND)
-            self.engine.after(advice + pause // 10 if heeds else pause, self._ask, viewer)
+            pause = int(viewer.dice.uniform(*self.ground.pause) * SECOND)
+            self.engine.after(max(advice, pause) if heeds else pause, self._ask, viewer)
 
     def watched(self) -> float:
         """The part of what viewers wanted to watch that they did."""
