The first list's age is settled in the driver; one NEVER_RAN; texts set in whole lines

Cause: read again, the rule that a starting gateway's first list counts as old stood in the sockets' side, the set of endings that prove nothing ran stood in two places, and some texts were broken in the middle.

Change: the driver settles it and a test shows it; the set comes from the decisions; a change of rung is no longer sent for a stream that ended while it was begun.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -6,9 +6,8 @@
     full   the gateway program as it is
 
 Saturation is measured with a fixed number of requests out; latency with open arrivals, each counted from
-the time at
-which it was meant to be sent. Load, hosts and the process measured are processes of their own; all on
-loopback.
+the time at which it was meant to be sent. Load, hosts and the process measured are processes of their own;
+all on loopback.
 """
 
 from __future__ import annotations
--- a/burlmast/edge/clock.py
+++ b/burlmast/edge/clock.py
@@ -31,8 +31,7 @@
         """A start time from the list, on this scale and never in the future.
 
         A row keeps the reading that it first got, so that a step of our wall clock never looks like a
-        restart of
-        every host.
+        restart of every host.
         """
         key = host, started
         found = self._starts.get(key)
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -1,10 +1,8 @@
 """Hands what a gateway sees to the decisions, and what they decide to the sockets. Free of I/O.
 
 The driver owns one policy, one heap of alarms and the record of each playback and setup try. It places
-nothing and
-chooses no rung; what it settles is which events still belong to something and which no longer do: `LIFE`
-below.
-All entry points take `now`, whole nanoseconds that never go back.
+nothing and chooses no rung; what it settles is which events still belong to something and which no longer
+do: `LIFE` below. All entry points take `now`, whole nanoseconds that never go back.
 """
 
 from __future__ import annotations
@@ -18,8 +16,7 @@
 from burlmast import api
 from burlmast.api import Ending
 from burlmast.edge.timeline import Timeline
-
-NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
+from burlmast.logic import NEVER_RAN
 
 
 class Policy(Protocol):
@@ -163,6 +160,7 @@
         self._inbox: deque[api.Event] = deque()
         self._pumping = False
         self._addresses: dict[int, str] = {}
+        self._has_list = False
         self.held: dict[int, Playback] = {}
         self.shown: dict[str, Playback] = {}
         self.failed = False
@@ -310,6 +308,10 @@
         """News of the list, and the addresses that came with it."""
         if scope in (api.Scope.COMPLETE, api.Scope.CACHED):
             self._addresses = {}
+            if not self._has_list:
+                # Danger: the list comes late, and a host may have restarted since; a gateway that has just
+                # started has no streams whose breaking would tell it.
+                scope, self._has_list = api.Scope.CACHED, True
         self._addresses.update(where)
         self._hand(now, api.Listed(scope, rows))
 
@@ -317,8 +319,7 @@
 
     def _hand(self, now: int, event: api.Event) -> None:
         # Danger: an action may bring an event at once (a host that is not listed any more); it waits its
-        # turn,
-        # so that the decisions never hear of anything while they decide.
+        # turn, so that the decisions never hear of anything while they decide.
         self._inbox.append(event)
         if self._pumping or self.failed:
             return
@@ -375,7 +376,7 @@
         if not known:
             self._answer(now, playback, Final("plays"))
         self._hand(now, api.Flowing(playback.number, one.place, one.host, max(0, now - one.sent_at)))
-        if one.rung != playback.rung:
+        if one.state == "flowing" and one.rung != playback.rung:
             self._change(one, playback.rung)
 
     def _refused(self, now: int, playback: Playback, final: Final) -> None:
--- a/burlmast/edge/endings.py
+++ b/burlmast/edge/endings.py
@@ -1,8 +1,7 @@
 """How what is seen of a setup try on the wire becomes the one ending that the decisions hear. Free of I/O.
 
 Only what proves that nothing ran may be one of `FULL`, `NO_CONNECTION` or `MOOT`: a plan that must not be
-set up twice
-is tried again on their word.
+set up twice is tried again on their word.
 """
 
 from __future__ import annotations
--- a/burlmast/edge/limits.py
+++ b/burlmast/edge/limits.py
@@ -1,10 +1,8 @@
 """What this program itself can hold: connections, heads, requests, bytes. Free of I/O.
 
 It decides who is let in, never which host or rung a playback gets. One rule serves all four: plenty of room
-lets
-everybody in; a crowded door holds each address to an equal part; the last of the room is kept for addresses
-that
-hold or play something already, so that newcomers never push out those who are served.
+lets everybody in; a crowded door holds each address to an equal part; the last of the room is kept for
+addresses that hold or play something already, so that newcomers never push out those who are served.
 """
 
 from __future__ import annotations
--- a/burlmast/edge/listing.py
+++ b/burlmast/edge/listing.py
@@ -48,7 +48,6 @@
         self._now, self._later = now, later
         self._call: Call | None = None
         self._lines = Lines(1 << 22)
-        self._first = True
         self._timer: Any = None
         self._status = 0
 
@@ -123,10 +122,6 @@
                     continue
                 rows.append(row)
                 where[row.host] = address
-            if scope is Scope.COMPLETE and self._first:
-                # Danger: the list comes late, and a host may have restarted since; a gateway that has just
-                # started has no streams whose breaking would tell it.
-                scope, self._first = Scope.CACHED, False
             self._reader.listed(scope, tuple(rows), where)
         if self._redial.take(self._now(), "heard") == "rest" and self._timer is None:
             self._arm()
--- a/burlmast/edge/redial.py
+++ b/burlmast/edge/redial.py
@@ -1,8 +1,7 @@
 """When to dial the list service again. Free of I/O.
 
 The list is followed for as long as the gateway runs. Where it cannot be reached the pause doubles from call
-to call up
-to its longest; where it has gone silent the call is given up.
+to call up to its longest; where it has gone silent the call is given up.
 """
 
 from __future__ import annotations
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -2,8 +2,7 @@
 again.
 
 What hosts, viewers and the list see is recorded in the words of `world.traffic`, so that the audit that
-judges a day on
-sockets judges this one too. Messages take a fixed time; nothing is lost on the way.
+judges a day on sockets judges this one too. Messages take a fixed time; nothing is lost on the way.
 """
 
 from __future__ import annotations
--- a/burlmast/recall/core.py
+++ b/burlmast/recall/core.py
@@ -1,10 +1,9 @@
 """Advice to rejected viewers, free of I/O.
 
 Viewers who were rejected together and are told the same come again together. This spreads them, by the
-gateway's own
-chance, over the time in which it expects room: those told before and not yet due, over the pace at which
-playbacks
-have lately begun here. It changes only when viewers come again; rejections stay where the decisions put them.
+gateway's own chance, over the time in which it expects room: those told before and not yet due, over the
+pace at which playbacks have lately begun here. It changes only when viewers come again; rejections stay
+where the decisions put them.
 """
 
 from __future__ import annotations
--- a/burlmast/world/audit.py
+++ b/burlmast/world/audit.py
@@ -2,8 +2,7 @@
 gateway's own.
 
 The rules bind a gateway that runs. A request to one that was killed before it answered is excused; the time
-for
-which one was stopped by a signal is added to what it had to keep.
+for which one was stopped by a signal is added to what it had to keep.
 """
 
 from __future__ import annotations
--- a/burlmast/world/benchday.py
+++ b/burlmast/world/benchday.py
@@ -1,8 +1,7 @@
 """The troubles of a bench day, by their kinds, as a day that sockets can show.
 
 The bench's days have hundreds of gateways and thousands of viewers; what carries over is what goes wrong,
-when, for how
-long, on what part of the fleet and how badly. Its times are whole microseconds.
+when, for how long, on what part of the fleet and how badly. Its times are whole microseconds.
 """
 
 from __future__ import annotations
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -14,12 +14,12 @@
 from burlmast import api
 from burlmast.api import Ending, HostRow, Load, Scope, Standing
 from burlmast.edge.clock import Clock
-from burlmast.edge.driver import NEVER_RAN, Driver, Final, Playback, Try, Wanted
+from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
 from burlmast.edge.endings import ENDINGS, of_answer, read_load, write_load
 from burlmast.edge.limits import Doorkeeper, Room
 from burlmast.edge.redial import Redial
 from burlmast.edge.timeline import Timeline
-from burlmast.logic import Gateway
+from burlmast.logic import NEVER_RAN, Gateway
 from burlmast.settings.read import terms
 from burlmast.settings.sheets import Doorway
 
@@ -122,6 +122,13 @@
     assert len(outside.answers) == 1 and len(outside.opened) == 1 and not outside.rungs
 
 
+def test_the_first_whole_list_counts_as_old_and_later_ones_as_they_say() -> None:
+    driver, _outside, script = driving()
+    driver.listed(START, Scope.CHANGES, ROWS[:1], {})
+    driver.listed(START, Scope.COMPLETE, ROWS, {})
+    assert [one.scope for one in script.of(api.Listed)] == [Scope.CACHED, Scope.CHANGES, Scope.COMPLETE]
+
+
 def test_a_viewer_that_leaves_is_owed_nothing_and_its_try_is_closed() -> None:
     driver, outside, script = driving()
     script.answers[api.Arrived] = lambda event: [api.SetUp(event.request.pb, 1, 0)]
