A broken rule 1 shows tries that may be its own

Cause: the lines beside an unanswered request were whatever tries came next, of any title and gateway.

--- a/burlmast/world/audit.py
+++ b/burlmast/world/audit.py
@@ -16,7 +16,6 @@
 import msgspec
 
 from burlmast.api import Repeat
-from burlmast.world import traffic
 from burlmast.world.traffic import (
     Answered,
     Asked,
@@ -222,8 +221,15 @@
                 ):
                     self.excused += 1
                 else:
-                    tries = [spell.came for spell in self._spells if spell.came.at >= asked.at][:2]
-                    self.say(1, "a request that was taken got no answer", asked, end, *tries)
+                    self.say(1, "a request that was taken got no answer", asked, end, *self._likely(asked))
+
+    def _likely(self, asked: Asked) -> list[TryCame]:
+        """Tries that may be this request's: an answer that never came names no playback."""
+        wanted = asked.gateway, asked.plan, asked.title
+        came = [
+            spell.came for spell in self._spells if asked.at <= spell.came.at <= asked.at + asked.patience
+        ]
+        return [one for one in came if (one.gateway, one.plan, one.title) == wanted][:2]
 
     def one_try(self) -> None:
         """Rule 2."""
@@ -259,9 +265,8 @@
     def _same_group(self, group: str, one: int, other: int) -> bool:
         if group == "all":
             return True
-        places = {up.host: (up.zone, up.cell) for up in self._by[HostUp]}
-        kind = 0 if group == "zone" else 1
-        return one in places and other in places and places[one][kind] == places[other][kind]
+        places = {up.host: up.zone if group == "zone" else up.cell for up in self._by[HostUp]}
+        return one in places and other in places and places[one] == places[other]
 
     def drains(self) -> None:
         """Rule 3."""
@@ -397,6 +402,3 @@
 def audit(records: Iterable[Record], book: Rulebook) -> Verdict:
     """The verdict on a day's traffic."""
     return Audit(records, book).judge()
-
-
-__all__ = ["Audit", "Broken", "PlanRules", "Rulebook", "Verdict", "audit", "traffic"]
