--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -13,11 +13,11 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from burlmast.badday.day import rulebook
 from burlmast.logic import Gateway
 from burlmast.model.day import play
 from burlmast.model.ground import ground
 from burlmast.settings.read import read
+from burlmast.settings.scenes import rulebook
 from burlmast.settings.sheets import Deployment, Title
 from burlmast.world.troubles import Day, Trouble
 
@@ -56,7 +56,7 @@
         speeds, costs = [], []
         for turn in range(found.rounds):
             began = time.process_time()
-            verdict, records, *_ = play(ground(one, 1.0), day, turn, Gateway, rulebook(one))
+            verdict, records, _ = play(ground(one), day, turn, Gateway, rulebook(one))
             took = time.process_time() - began
             lasted = (records[-1].at - records[0].at) / 1e9
             speeds.append(lasted / took)
--- a/benchmarks/recall.py
+++ b/benchmarks/recall.py
@@ -18,18 +18,15 @@
 import msgspec
 from model import deployment
 
-from burlmast.badday.day import rulebook
 from burlmast.logic import Gateway
-from burlmast.model.day import Script
-from burlmast.model.fleet import Fleet
+from burlmast.model.day import play
 from burlmast.model.ground import ground
-from burlmast.world.audit import audit
-from burlmast.world.traffic import Record
+from burlmast.settings.scenes import rulebook
+from burlmast.world.crowd import Uniform, Viewers
 from burlmast.world.troubles import Day, Trouble
 
 DAY = Day("return", 24.0, (Trouble("crash", 8, 8, 0.25), Trouble("burst", 6, 8, 1, 2.5)))
 SIZES, HONOURS, SEEDS = ((3, 12), (50, 40), (200, 130)), (1.0, 0.6, 0.0), range(8)
-S = 1_000_000_000
 
 
 def once(gateways: int, hosts: int, honour: float, recall: bool, seed: int) -> tuple[float, int, int, int]:
@@ -38,14 +35,11 @@
     replace = msgspec.structs.replace
     fleet_terms = replace(one.fleet, streams_by_kind=(9,))  # few places, so that hosts turn set-ups away
     one = replace(one, fleet=fleet_terms, allowed=replace(one.allowed, longest_advice_ms=2000.0))
-    records: list[Record] = []
-    place = ground(one, 1.6)._replace(honour=honour, recall=recall, pause=(0.1, 0.5))
-    fleet = Fleet(place, Gateway, seed, records.append)
-    fleet.begin(int(DAY.lasts * S))
-    Script(fleet, DAY, seed).schedule(fleet.until - int(DAY.lasts * S))
-    fleet.engine.run(fleet.until + 40 * S)
-    verdict = audit(records, rulebook(one))
-    return fleet.watched(), verdict.asked, verdict.rejected, len(verdict.rules)
+    viewers = Viewers(honour=honour, pause=Uniform(0.1, 0.5))
+    day = replace(DAY, load=1.6, viewers=viewers)
+    played = play(ground(one)._replace(recall=recall), day, seed, Gateway, rulebook(one))
+    verdict = played.verdict
+    return played.players.watched, verdict.asked, verdict.rejected, len(verdict.rules)
 
 
 def main() -> None:
--- a/burlmast/badday/day.py
+++ b/burlmast/badday/day.py
@@ -4,58 +4,39 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
-from burlmast.api import Repeat
 from burlmast.badday.town import Town
 from burlmast.http1.client import Pool
 from burlmast.settings.read import nanoseconds
+from burlmast.settings.scenes import market, rulebook, tariffs
 from burlmast.settings.sheets import Deployment
 from burlmast.standin.viewer import Viewers, Wish
-from burlmast.world.audit import PlanRules, Rulebook, Verdict, audit
+from burlmast.world.audit import Verdict, audit
+from burlmast.world.capacity import changes
+from burlmast.world.crowd import Guest
 from burlmast.world.traffic import Record
-from burlmast.world.troubles import Day, Trouble, edges, struck
+from burlmast.world.troubles import Day, Trouble, edges, guests, struck
+from burlmast.world.visitor import Tally, Visitor, tally
 
 SECOND = 1_000_000_000
+HEARD = {503: "rejected", 0: "unheard", -1: "lost"}  # what other statuses are is `aborted`
 
 
-def rulebook(deployment: Deployment) -> Rulebook:
-    """The figures that the audit judges by."""
-    rules = deployment.rules
-    return Rulebook(
-        tuple(
-            PlanRules(
-                plan.revenue,
-                nanoseconds(plan.startup_target_ms),
-                Repeat(plan.repeat),
-                plan.repeat_group,
-                nanoseconds(plan.repeat_span_ms),
-                plan.floor,
-                plan.seats,
-            )
-            for plan in deployment.plans
-        ),
-        deployment.ladder.earns,
-        nanoseconds(rules.drain_grace_ms),
-        rules.cold_share,
-        nanoseconds(rules.warm_after_ms),
-        rules.fall_multiple,
-        nanoseconds(rules.fall_span_ms),
-        rules.further_free,
-        rules.further_ratio,
-        nanoseconds(rules.further_span_ms),
-    )
+async def until(due: float) -> None:
+    """Sleep until then, seconds of the monotonic clock."""
+    await asyncio.sleep(max(0.0, due - time.monotonic()))
 
 
 class Outcome(NamedTuple):
     """What came of a day."""
 
     verdict: Verdict
+    players: Tally
     records: list[Record]
     took_s: float
 
@@ -63,35 +44,34 @@
 class Director:
     """Strikes the troubles of a day and sends its viewers."""
 
-    TAIL_S = 3.0  # after the last arrival viewers may watch on for so long
-    TRIES = 4  # times a viewer comes
+    TAIL_S = 10.0  # beyond what they want to see, viewers that came last may wait and stall for so long
 
     def __init__(self, town: Town, day: Day, seed: int, record: Callable[[Record], None]) -> None:
         self.town, self.day, self.seed = town, day, seed
         self.deployment = town.deployment
-        self.dice = random.Random(seed)
         # A silent gateway answers no handshake either; a viewer waits for that as it does for an answer.
         self.pool = Pool(connect_s=1.0, most_idle=256)
         self.viewers = Viewers(self.pool, record)
-        self.rate = self.deployment.stand_ins.a_second * day.load
-        self.crowds: dict[int, Trouble] = {}
+        self.tariffs = tariffs(self.deployment)
+        self.visitors: list[Visitor] = []
         self._hit: dict[int, list[int]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._closing = asyncio.Event()
-        self._count = 0
+        self._watching: set[asyncio.Task[None]] = set()
+        self._ends = 0.0
 
     async def play(self) -> None:
-        """The whole day."""
+        """The whole day, until every viewer has seen all that it wanted or has left."""
         began = time.monotonic()
-        troubles = self._spawn(self._troubles(began))
-        await self._arrivals(began)
-        await asyncio.wait([troubles], timeout=self.TAIL_S)
-        await asyncio.sleep(max(0.0, began + self.day.lasts + self.TAIL_S - time.monotonic()))
-        self._closing.set()
+        self._ends = began + self.day.lasts
+        coming = guests(self.day, market(self.deployment), self.seed)
+        script = [self._spawn(self._troubles(began)), self._spawn(self._capacity(began))]
+        await self._arrivals(began, coming)
+        await until(self._ends)
         # Whoever still waits for an answer waits on: it is owed one.
-        longest = max(plan.abandon_ms for plan in self.deployment.plans) / 1000
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=longest + self.viewers.SLACK_S + 2)
+        longest = max((guest.habits.wants for guest in coming), default=0) / SECOND
+        if self._watching:
+            await asyncio.wait(self._watching, timeout=longest + self.TAIL_S)
+        await asyncio.wait(script, timeout=self.TAIL_S)
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -105,82 +85,54 @@
 
     # Viewers.
 
-    async def _arrivals(self, began: float) -> None:
-        due = 0.0
-        while True:
-            due += self.dice.expovariate(self.rate)
-            if due >= self.day.lasts:
-                return
-            wait = began + due - time.monotonic()
-            if wait > 0:
-                await asyncio.sleep(wait)
-            self._count += 1
-            self._spawn(self._viewer(self._wish(), random.Random(self.seed * 1_000_003 + self._count)))
-
-    def _wish(self) -> Wish:
-        dice, deployment = self.dice, self.deployment
-        number = dice.randrange(len(deployment.plans))
-        plan = deployment.plans[number]
-        # Some titles are wanted far more than others.
-        weights = [1 / (place + 1) ** 0.7 for place in range(len(deployment.titles))]
-        title = dice.choices(deployment.titles, weights)[0].name
-        crowd_draw, crowd_title = dice.random(), dice.random()
-        for crowd in self.crowds.values():
-            if crowd_draw < crowd.size:
-                few = deployment.titles[-max(1, int(crowd.extra)) :]
-                title = few[int(crowd_title * len(few))].name
-        rungs = len(deployment.ladder.rates_kb)
-        top = min(plan.top, rungs - 1)
-        if dice.random() < 0.3:
-            top = max(plan.floor, top - 1)
-        lasts = dice.uniform(*deployment.stand_ins.lasts_s)
-        return Wish(
-            title, plan.name, number, f"viewer {self._count}", top, lasts, nanoseconds(plan.abandon_ms)
-        )
-
-    async def _viewer(self, wish: Wish, dice: random.Random) -> None:
-        left = wish.lasts
-        every = self.deployment.edge.segment_ms / 1000
-        for visit in range(self.TRIES):
-            gateway = dice.choice(self.town.gateways)
-            answer = await self.viewers.ask(gateway.number, gateway.address, wish, visit > 0)
-            pause = dice.uniform(0.4, 1.4)
+    async def _arrivals(self, began: float, coming: Sequence[Guest]) -> None:
+        for guest in coming:
+            await until(began + guest.at / SECOND)
+            tariff = self.tariffs[guest.plan]
+            visitor = Visitor(guest, self.day.viewers, tariff, time.monotonic_ns())
+            self.visitors.append(visitor)
+            task = self._spawn(self._viewer(visitor))
+            self._watching.add(task)
+            task.add_done_callback(self._watching.discard)
+
+    def _wish(self, visitor: Visitor) -> Wish:
+        guest = visitor.guest
+        plan, title = self.deployment.plans[guest.plan], self.deployment.titles[guest.title].name
+        # It plays until it leaves: stalls make that later than what it wants to see.
+        patience = nanoseconds(plan.abandon_ms)
+        return Wish(title, plan.name, guest.plan, f"viewer {guest.number}", guest.top, 0.0, patience)
+
+    async def _viewer(self, visitor: Visitor) -> None:
+        every = self.deployment.stand_ins.deliver_every_ms / 1000
+        while (number := visitor.asks(time.monotonic_ns(), range(len(self.town.gateways)))) is not None:
+            gateway = self.town.gateways[number]
+            wish = self._wish(visitor)
+            answer = await self.viewers.ask(gateway.number, gateway.address, wish, visitor.visits > 1)
+            now, advice = time.monotonic_ns(), answer.told.retry_after_ms * 1_000_000
             if answer.status == 201:
-                began = time.monotonic()
-                end = await self._follow(gateway.address, answer.told, left, every)
-                left -= time.monotonic() - began
-                if end == "watched" or left < 1 or self._closing.is_set():
-                    return
-            elif answer.status == 503:
-                pause = max(pause, answer.told.retry_after_ms / 1000)
-            elif answer.status > 0:
-                return  # aborted: this viewer does not dare to ask again
-            if self._closing.is_set():
+                ending = await self.viewers.follow(gateway.address, answer.told, visitor, every)
+                comes = visitor.happen(time.monotonic_ns(), ending)
+            else:
+                comes = visitor.happen(now, HEARD.get(answer.status, "aborted"), advice)
+            if comes is None or time.monotonic() >= self._ends:
                 return
-            await asyncio.sleep(pause)
-
-    async def _follow(self, address: tuple[str, int], told: object, left: float, every: float) -> str:
-        watching = asyncio.ensure_future(self.viewers.follow(address, told, left, every))  # type: ignore[arg-type]
-        closing = asyncio.ensure_future(self._closing.wait())
-        try:
-            await asyncio.wait([watching, closing], return_when=asyncio.FIRST_COMPLETED)
-            return watching.result() if watching.done() else "watched"
-        finally:
-            watching.cancel()
-            closing.cancel()
+            await asyncio.sleep(comes.after / SECOND)
 
     # Troubles.
 
     async def _troubles(self, began: float) -> None:
         for at, place, begins in edges(self.day):
-            wait = began + at - time.monotonic()
-            if wait > 0:
-                await asyncio.sleep(wait)
+            await until(began + at)
             trouble = self.day.troubles[place]
-            if begins:
-                await BEGINS[trouble.kind](self, place, trouble)
-            elif trouble.kind in ENDS:
-                await ENDS[trouble.kind](self, place, trouble)
+            effect = (BEGINS if begins else ENDS).get(trouble.kind)
+            if effect is not None:
+                await effect(self, place, trouble)
+
+    async def _capacity(self, began: float) -> None:
+        fleet = self.town.fleet
+        for change in changes(self.day.capacity, len(fleet.racks), len(fleet.hosts), self.seed):
+            await until(began + change.at)
+            fleet.gives(change)
 
     def _strike(self, place: int, trouble: Trouble) -> list[int]:
         # A host that is leaving is not struck by anything else.
@@ -271,18 +223,6 @@
         finally:
             gateway.send(signal.SIGCONT, "continued")
 
-    async def quicken(self, place: int, trouble: Trouble) -> None:
-        self.rate *= trouble.size
-
-    async def slacken(self, place: int, trouble: Trouble) -> None:
-        self.rate /= trouble.size
-
-    async def crowd(self, place: int, trouble: Trouble) -> None:
-        self.crowds[place] = trouble
-
-    async def scatter(self, place: int, trouble: Trouble) -> None:
-        self.crowds.pop(place, None)
-
 
 Effect = Callable[[Director, int, Trouble], Awaitable[None]]
 
@@ -324,8 +264,6 @@
     "failing list": Director.fail_list,
     "restarts": Director.restart_gateways,
     "stalls": Director.stall_gateways,
-    "burst": Director.quicken,
-    "crowd": Director.crowd,
 }
 ENDS: dict[str, Effect] = {
     "crash": Director.revive,
@@ -342,8 +280,6 @@
     "late reports": healing("late"),
     "late list": Director.timely_list,
     "failing list": Director.mend_list,
-    "burst": Director.slacken,
-    "crowd": Director.scatter,
 }
 
 
@@ -359,12 +295,14 @@
     records: list[Record] = []
     options = ("--plant", str(plant)) if plant else ()
     began = time.monotonic()
-    town = Town(deployment, settings, deployment.gateways, records.append, options, logs)
+    town = Town(deployment, settings, deployment.gateways, records.append, options, logs, day.noise)
     try:
         await town.start()
         # Nothing goes to any host in the first span after a gateway's start (docs/design.md, mechanism 3).
         await asyncio.sleep(deployment.rules.fall_span_ms / 1000 + 0.2)
-        await Director(town, day, seed, records.append).play()
+        director = Director(town, day, seed, records.append)
+        await director.play()
     finally:
         await town.close()
-    return Outcome(audit(records, rulebook(deployment)), records, time.monotonic() - began)
+    players = tally(director.visitors)
+    return Outcome(audit(records, rulebook(deployment)), players, records, time.monotonic() - began)
--- a/burlmast/badday/report.py
+++ b/burlmast/badday/report.py
@@ -5,6 +5,7 @@
 from burlmast.badday.day import Outcome
 from burlmast.world.audit import Verdict
 from burlmast.world.troubles import Day
+from burlmast.world.visitor import Tally
 
 SHOWN = 3
 
@@ -14,7 +15,14 @@
     lines = [f"day {day.name}, seed {seed}, {outcome.took_s:.1f} s, {len(day.troubles)} troubles"]
     for trouble in day.troubles:
         lines.append(f"  {trouble.start:5.1f} to {trouble.start + trouble.lasts:5.1f} s  {trouble.kind}")
-    return "\n".join(lines + verdict_lines(outcome.verdict))
+    for one in day.capacity:
+        lines.append(f"  capacity: {type(one.course).__name__.lower()}")
+    return "\n".join([*lines, *verdict_lines(outcome.verdict), players_line(outcome.players)])
+
+
+def players_line(players: Tally) -> str:
+    """What the day came to for its viewers."""
+    return "players: " + ", ".join(f"{name} {value}" for name, value in players._asdict().items())
 
 
 def verdict_lines(verdict: Verdict) -> list[str]:
--- a/burlmast/badday/town.py
+++ b/burlmast/badday/town.py
@@ -24,12 +24,13 @@
         record: Callable[[Record], None] = lambda record: None,
         options: tuple[str, ...] = (),
         logs: Path | None = None,
+        noise: float = 0.0,
     ) -> None:
         """`settings` is the file that each gateway reads, `options` are further words of its command line."""
         self.deployment = deployment
         delay = deployment.stand_ins.list_delay_ms / 1000
         self.list = ListService(record, delay)
-        self.fleet = Fleet(deployment, record, self.list.changed)
+        self.fleet = Fleet(deployment, record, self.list.changed, noise)
         self._settings, self._options, self._logs, self._record = settings, options, logs, record
         self._count = gateways
         self.gateways: list[GatewayProcess] = []
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import sys
+import tempfile
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +14,7 @@
 import msgspec
 import structlog
 
-from burlmast.settings.read import BadSettings, evaluate, read
+from burlmast.settings.read import BadSettings, read
 from burlmast.settings.sheets import Deployment
 from burlmast.world.troubles import Day
 
@@ -187,15 +188,12 @@
 
 def adapted(file: str, gateways: int | None, hosts: int | None) -> tuple[Deployment, str]:
     """The deployment with other numbers, and a file that the gateways can read it from."""
-    import tempfile
+    from burlmast.settings.scenes import resized
 
     deployment = settings(file)
     if gateways is None and hosts is None:
         return deployment, file
-    stand_ins = msgspec.structs.replace(deployment.stand_ins, hosts=hosts or deployment.stand_ins.hosts)
-    deployment = msgspec.structs.replace(
-        deployment, gateways=gateways or deployment.gateways, stand_ins=stand_ins
-    )
+    deployment = resized(deployment, gateways, hosts)
     with tempfile.NamedTemporaryFile("wb", prefix="burlmast-", suffix=".json", delete=False) as out:
         out.write(msgspec.json.encode(deployment))
     return deployment, out.name
@@ -271,17 +269,22 @@
     return 0
 
 
-def read_day(file: str) -> Day:
-    """A scripted day from a Jsonnet file. Raises NotADay."""
-    from burlmast.world.troubles import NotADay
-    from burlmast.world.troubles import check as checked
+def scene(
+    name: str, file: str | None, gateways: int | None = None, hosts: int | None = None, bench: bool = False
+) -> tuple[Day, Deployment, str]:
+    """A day, its deployment, and the file that gateways can read that from. Ends with 2 and one line where
+    it cannot be played."""
+    from burlmast.settings.scenes import fitting, read_day
+    from burlmast.world.troubles import DAYS, NotADay
 
     try:
-        return checked(msgspec.json.decode(evaluate(file), type=Day))
-    except BadSettings as why:
-        raise NotADay(str(why).removeprefix(f"{file}: ")) from None
-    except msgspec.MsgspecError as why:
-        raise NotADay(str(why)) from None
+        day = read_bench_day(name) if bench else DAYS.get(name) or read_day(name)
+        beside = str(Path(name).parent / day.settings) if day.settings else SAMPLE
+        deployment, written = adapted(file or beside, gateways or day.gateways, hosts or day.hosts)
+        return fitting(day, deployment), deployment, written
+    except NotADay as why:
+        click.echo(f"{name}: {why}", err=True)
+        raise SystemExit(2) from None
 
 
 def read_bench_day(file: str) -> Day:
@@ -304,40 +307,44 @@
     "--bench", is_flag=True, help="NAME is a day file of the bench; its kinds of trouble are played."
 )
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option(
+    "--settings",
+    "file",
+    type=click.Path(),
+    default=None,
+    help="In place of the scenario's own or the sample.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
 @click.option("--plant", type=click.IntRange(1, 6), default=None, help="Break this rule on purpose.")
 @click.option(
     "--logs", type=click.Path(file_okay=False), default=None, help="A folder for the gateways' logs."
 )
 def bad_day(
-    name: str, bench: bool, seed: int, file: str, as_json: bool, plant: int | None, logs: str | None
+    name: str, bench: bool, seed: int, file: str | None, as_json: bool, plant: int | None, logs: str | None
 ) -> None:
-    """Play the day NAME (standard, short, quiet, or a file that scripts one) and judge it from the traffic.
+    """Play the day NAME (standard, short, quiet, or a scenario's file) and judge it from the traffic.
 
     Ends with 0 where the six rules held, with 1 where one was broken, with 2 where the day cannot be played.
     """
     from burlmast.badday.day import run_day
     from burlmast.badday.gateways import NotStarted
     from burlmast.badday.report import as_text
-    from burlmast.world.troubles import DAYS, NotADay
 
-    deployment = settings(file)
-    try:
-        day = read_bench_day(name) if bench else DAYS.get(name) or read_day(name)
-    except NotADay as why:
-        click.echo(f"{name}: {why}", err=True)
-        raise SystemExit(2) from None
+    day, deployment, written = scene(name, file, bench=bench)
     folder = Path(logs) if logs else None
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
     try:
-        outcome = asyncio.run(run_day(deployment, file, day, seed, plant, folder))
+        outcome = asyncio.run(run_day(deployment, written, day, seed, plant, folder))
     except (OSError, NotStarted) as why:
         click.echo(f"bad-day: {why}", err=True)
         raise SystemExit(2) from None
+    finally:
+        if written.startswith(tempfile.gettempdir()):
+            Path(written).unlink(missing_ok=True)
     if as_json:
-        say({"day": day.name, "seed": seed, "took_s": round(outcome.took_s, 1), "verdict": outcome.verdict})
+        told = {"verdict": outcome.verdict, "players": outcome.players._asdict()}
+        say({"day": day.name, "seed": seed, "took_s": round(outcome.took_s, 1), **told})
     else:
         click.echo(as_text(day, seed, outcome))
     raise SystemExit(1 if outcome.verdict.broken else 0)
@@ -351,44 +358,41 @@
 @model.command("run")
 @click.argument("name", default="standard")
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
+@click.option(
+    "--settings",
+    "file",
+    type=click.Path(),
+    default=None,
+    help="In place of the scenario's own or the sample.",
+)
 @click.option(
     "--gateways", type=click.IntRange(1, 1000), default=None, help="In place of the settings' number."
 )
+@click.option(
+    "--hosts", type=click.IntRange(1, 10000), default=None, help="In place of the settings' number."
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
-def model_run(name: str, seed: int, file: str, gateways: int | None, as_json: bool) -> None:
+def model_run(
+    name: str, seed: int, file: str | None, gateways: int | None, hosts: int | None, as_json: bool
+) -> None:
     """Play the day NAME in virtual time and judge it; exit codes are those of bad-day.
 
     The same words print the same line.
     """
-    from burlmast.badday.day import rulebook
-    from burlmast.badday.report import verdict_lines
+    from burlmast.badday.report import players_line, verdict_lines
     from burlmast.logic import Gateway
     from burlmast.model.day import play
     from burlmast.model.ground import ground
-    from burlmast.world.troubles import DAYS, NotADay
+    from burlmast.settings.scenes import rulebook
 
-    deployment = settings(file)
-    if gateways:
-        deployment = msgspec.structs.replace(deployment, gateways=gateways)
-    try:
-        day = DAYS.get(name) or read_day(name)
-    except NotADay as why:
-        click.echo(f"{name}: {why}", err=True)
-        raise SystemExit(2) from None
-    played = play(ground(deployment, day.load), day, seed, Gateway, rulebook(deployment))
-    verdict = played.verdict
-    players = {
-        "watched": played.watched,
-        "earned": played.earned,
-        "stalls_a_viewer": played.stalls_a_viewer,
-        "left_early": played.left_early,
-    }
+    day, deployment, _ = scene(name, file, gateways, hosts)
+    played = play(ground(deployment), day, seed, Gateway, rulebook(deployment))
+    verdict, players = played.verdict, played.players._asdict()
     if as_json:
         say({"day": day.name, "seed": seed, "verdict": verdict, "players": players})
     else:
         click.echo("\n".join([f"day {day.name}, seed {seed}, in virtual time", *verdict_lines(verdict)]))
-        click.echo("players: " + ", ".join(f"{name} {value}" for name, value in players.items()))
+        click.echo(players_line(played.players))
     raise SystemExit(1 if verdict.broken else 0)
 
 
--- a/burlmast/model/day.py
+++ b/burlmast/model/day.py
@@ -7,8 +7,10 @@
 
 from burlmast.model.fleet import Decides, Fleet, Ground
 from burlmast.world.audit import Rulebook, Verdict, audit
+from burlmast.world.capacity import changes
 from burlmast.world.traffic import Record
-from burlmast.world.troubles import Day, Trouble, edges, struck
+from burlmast.world.troubles import Day, Trouble, edges, guests, struck
+from burlmast.world.visitor import Tally, tally
 
 SECOND = 1_000_000_000
 TAIL = 10 * SECOND
@@ -28,6 +30,8 @@
             trouble = self.day.troubles[place]
             if trouble.kind in effects:
                 self.fleet.engine.at(start + int(at * SECOND), effects[trouble.kind], self, place, trouble)
+        for change in changes(self.day.capacity, len(self.fleet.racks), self.fleet.ground.hosts, self.seed):
+            self.fleet.engine.at(start + int(change.at * SECOND), self.fleet.gives, change)
 
     def hosts(self, place: int, trouble: Trouble) -> list[int]:
         """The hosts that it strikes; one that is leaving is not struck by anything else."""
@@ -120,24 +124,14 @@
     script.fleet.list_delay -= int(trouble.size * SECOND)
 
 
-def quicken(script: Script, place: int, trouble: Trouble) -> None:
-    """More viewers."""
-    script.fleet.rate *= trouble.size
+def fail_list(script: Script, place: int, trouble: Trouble) -> None:
+    """The list answers nobody."""
+    script.fleet.fail_list()
 
 
-def slacken(script: Script, place: int, trouble: Trouble) -> None:
-    """As many viewers as before."""
-    script.fleet.rate /= trouble.size
-
-
-def crowd(script: Script, place: int, trouble: Trouble) -> None:
-    """A part of them wants a few titles."""
-    script.fleet.crowd = trouble.size, max(1, int(trouble.extra))
-
-
-def scatter(script: Script, place: int, trouble: Trouble) -> None:
-    """They want what they wanted before."""
-    script.fleet.crowd = None
+def mend_list(script: Script, place: int, trouble: Trouble) -> None:
+    """It answers again."""
+    script.fleet.mend_list()
 
 
 def restarts(script: Script, place: int, trouble: Trouble) -> None:
@@ -165,10 +159,9 @@
     "neighbour": ailing(neighbour=lambda one: one.size, neighbour_turn=lambda one: one.extra),
     "late reports": ailing(late=lambda one: one.size),
     "late list": later_list,
+    "failing list": fail_list,
     "restarts": restarts,
     "stalls": stalls,
-    "burst": quicken,
-    "crowd": crowd,
 }
 ENDS: dict[str, Effect] = {
     "crash": each_hit(lambda fleet, number, one: fleet.revive(number)),
@@ -184,10 +177,8 @@
     "neighbour": each_hit(well),
     "late reports": each_hit(well),
     "late list": timely_list,
-    "burst": slacken,
-    "crowd": scatter,
+    "failing list": mend_list,
 }
-NOT_MODELLED = frozenset(("failing list",))  # the modelled list is pushed and cannot be asked
 
 
 class Played(NamedTuple):
@@ -195,26 +186,15 @@
 
     verdict: Verdict
     records: list[Record]
-    watched: float  # part of what viewers wanted to see
-    earned: float  # revenue by the second over that of the best rung for all they wanted
-    stalls_a_viewer: float
-    left_early: int  # viewers out of patience
+    players: Tally
 
 
 def play(ground: Ground, day: Day, seed: int, maker: Callable[..., Decides], book: Rulebook) -> Played:
     """A whole day, and what it came to. The same words give the same records."""
     records: list[Record] = []
-    fleet = Fleet(ground, maker, seed, records.append)
-    fleet.begin(int(day.lasts * SECOND))
-    start = fleet.until - int(day.lasts * SECOND)
-    Script(fleet, day, seed).schedule(start)
-    fleet.engine.run(fleet.until + int(ground.lasts[1] * SECOND) + TAIL)
-    players = [viewer.player for viewer in fleet.viewers]
-    return Played(
-        audit(records, book),
-        records,
-        round(fleet.watched(), 4),
-        round(fleet.earned(), 4),
-        round(sum(one.stalls for one in players) / max(1, len(players)), 4),
-        sum(one.state == "gone" for one in players),
-    )
+    fleet = Fleet(ground, maker, seed, records.append, day.viewers, day.noise)
+    coming = guests(day, ground.market, seed)
+    Script(fleet, day, seed).schedule(fleet.begin(int(day.lasts * SECOND), coming))
+    longest = max((guest.habits.wants for guest in coming), default=0)
+    fleet.engine.run(fleet.until + longest + TAIL)
+    return Played(audit(records, book), records, tally(fleet.viewers))
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -15,8 +15,10 @@
 from burlmast.api import Ending, News, Scope, Standing
 from burlmast.model.engine import Engine
 from burlmast.recall.core import Recall
-from burlmast.world.box import Ailment, Box, Rack, true_rate
-from burlmast.world.player import Habits, Player, Takings, Tariff
+from burlmast.world.box import Ailment, Box, Course, Rack, host_id, true_rate
+from burlmast.world.capacity import Change
+from burlmast.world.crowd import Guest, Market, Viewers
+from burlmast.world.player import Tariff
 from burlmast.world.traffic import (
     Answered,
     Asked,
@@ -30,6 +32,7 @@
     TryCame,
     TryOver,
 )
+from burlmast.world.visitor import Comes, Visitor
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -57,7 +60,7 @@
 
 
 class Ground(NamedTuple):
-    """What the world is made of beside the terms; nanoseconds, kB a second, requests a second."""
+    """What the world is made of beside the terms; nanoseconds."""
 
     terms: Callable[[int], api.Terms]
     gateways: int
@@ -65,48 +68,20 @@
     hosts: int
     titles: Sequence[Title]
     patience: Sequence[int]
-    rate: float
-    lasts: tuple[float, float]
+    market: Market
+    tariffs: Sequence[Tariff]
     set_up: int
     way: int
     list_delay: int
     tell_every: int
     deliver_every: int
-    honour: float = 1.0  # the part of viewers who heed advice
-    start_patience: tuple[float, float] = (
-        6.0,
-        30.0,
-    )  # seconds without a picture after which a viewer is gone
-    stall_patience: tuple[float, float] = (3.0, 12.0)  # seconds of one stall
-    pause: tuple[float, float] = (0.4, 1.4)  # seconds after which a viewer comes again by itself
     recall: bool = False  # advice by `burlmast.recall` in place of the decisions' own
 
 
-class Viewer:
-    """Somebody who wants a playback, over all the requests that this takes."""
-
-    def __init__(
-        self, number: int, plan: int, title: int, player: Player, takings: Takings, dice: random.Random
-    ) -> None:
-        self.number, self.plan, self.title, self.dice = number, plan, title, dice
-        self.player, self.takings = player, takings
-        self.visits = 0
-
-    @property
-    def top(self) -> int:
-        """The highest rung that it can use."""
-        return self.takings.top
-
-    @property
-    def left(self) -> int:
-        """What it still wants to see, nanoseconds."""
-        return max(0, int(self.player.habits.wants - self.player.seen))
-
-
 class Playback:
     """One request as its gateway and its viewer have it."""
 
-    def __init__(self, number: int, request: int, viewer: Viewer, asked: int, due: int, rung: int) -> None:
+    def __init__(self, number: int, request: int, viewer: Visitor, asked: int, due: int, rung: int) -> None:
         self.number, self.request, self.viewer = number, request, viewer
         self.asked, self.due, self.rung = asked, due, rung
         self.state = "asked"  # asked, playing, over
@@ -123,7 +98,6 @@
         self.key = f"{self.name}/{attempt}"
         self.came = self.flows = self.over = False
         self.rung = playback.rung  # in force at the host
-        self.since = sent  # up to when its revenue has been counted
         self.looks = 0  # a look at the player that was set before another counts no more
 
 
@@ -138,6 +112,8 @@
         self.recall = Recall(1, 0)
         self.playbacks: dict[int, Playback] = {}
         self.count = 0
+        self.unread = True
+        self.told: dict[int, Standing] = {}
         self.stopped: list[tuple[Callable[..., None], tuple[object, ...]]] | None = None
 
     def start(self) -> None:
@@ -151,7 +127,12 @@
         self.policy = fleet.maker(fleet.ground.terms(self.number), seed, fleet.now)
         self.recall = Recall(max(1, fleet.terms.allowed.longest_advice), seed)
         self.carry_out(self.policy.begin(fleet.now))
-        self.hear(api.Listed(Scope.CACHED, tuple(fleet.told_rows.values())))
+        self.unread = True  # it has not read the list in this life
+        self.told = {}
+        if fleet.list_fails:
+            self.hear(api.Listed(Scope.FAILED, ()))
+        else:
+            fleet.first_list(self)
 
     def hear(self, event: api.Event) -> None:
         """Hand an event to the decisions."""
@@ -196,10 +177,18 @@
 class Fleet:
     """Everything at once."""
 
-    VISITS = 4
-
-    def __init__(self, ground: Ground, maker: Maker, seed: int, record: Callable[[Record], None]) -> None:
+    def __init__(
+        self,
+        ground: Ground,
+        maker: Maker,
+        seed: int,
+        record: Callable[[Record], None],
+        viewers: Viewers | None = None,
+        noise: float = 0.0,
+    ) -> None:
+        """`viewers` says how those behave that come; `noise` is the part by which hosts' reports are off."""
         self.ground, self.maker, self.record = ground, maker, record
+        self.habits, self.noise = viewers or Viewers(), noise
         self.dice = random.Random(seed)
         # Far from 0, so that hosts that have run for long have started after it.
         self.engine = Engine(1_000_000 * SECOND)
@@ -211,16 +200,15 @@
         self.rows: dict[int, api.HostRow] = {}
         self.told_rows: dict[int, api.HostRow] = {}
         self.seats = [Seat(self, number) for number in range(ground.gateways)]
-        self.rate, self.until = ground.rate, 0
+        self.until = 0
         self.list_delay = ground.list_delay
-        self.crowd: tuple[float, int] | None = None
-        self._requests = self._viewers = 0
-        self.viewers: list[Viewer] = []
+        self.list_fails = False
+        self._requests = 0
+        self.viewers: list[Visitor] = []
+        self.courses: dict[int, Course] = {}  # of hosts' links, over all their lives
         self._short: dict[tuple[int, int], bool] = {}
         self._next_host = 0
         self._news: dict[int, dict[int, api.HostRow]] = {}
-        weights = [1 / (place + 1) ** 0.7 for place in range(len(ground.titles))]
-        self._weights = weights
 
     @property
     def now(self) -> int:
@@ -229,21 +217,24 @@
 
     # Hosts.
 
-    def begin(self, lasts: int) -> None:
-        """Hosts warm, gateways up, viewers coming for so long."""
+    def begin(self, lasts: int, guests: Sequence[Guest]) -> int:
+        """Hosts warm, gateways up, these viewers coming; the instant at which the day starts."""
         for place in range(self.ground.hosts):
             self.add_host(place % self.terms.lineup.cells, cold=False)
         self.told_rows = dict(self.rows)
         for seat in self.seats:
             seat.start()
         settle = self.terms.rules.fall_span + 200 * MS
-        self.until = self.now + settle + lasts
-        self.engine.after(settle, self._arrive)
+        start = self.now + settle
+        self.until = start + lasts
+        for guest in guests:
+            self.engine.at(start + guest.at, self._arrive, guest)
+        return start
 
     def add_host(self, cell: int, cold: bool, number: int | None = None) -> int:
         """A host's process begins; a new machine unless `number` names one."""
         if number is None:
-            number, self._next_host = 1000 + 37 * self._next_host, self._next_host + 1
+            number, self._next_host = host_id(self._next_host), self._next_host + 1
         lineup, rules = self.terms.lineup, self.terms.rules
         kinds = lineup.streams_by_kind
         kind = (number - 1000) // 37 % len(kinds)
@@ -260,6 +251,7 @@
             started,
         )
         box.bears = rules.fall_multiple, rules.fall_span
+        box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
         self.boxes[number], self.streams[number] = box, {}
         zone = cell % self.ground.zones
         self.rows[number] = api.HostRow(number, zone, kind, cell, Standing.READY, 1.0, started)
@@ -299,6 +291,14 @@
                 setattr(box.ails, name, value)
             box.ails_since = self.now
 
+    def gives(self, change: Change) -> None:
+        """A link or uplink gives another part of its capacity from now on."""
+        if change.kind == "racks":
+            course = self.racks[change.number].course
+        else:
+            course = self.courses.setdefault(host_id(change.number), Course())
+        course.parts[change.place] = change.part
+
     def stands(self, number: int, standing: Standing) -> None:
         """The list will say so."""
         self.rows[number] = self.rows[number]._replace(standing=standing)
@@ -311,13 +311,43 @@
     def _push(self, due: int) -> None:
         """What changed at one instant is told in one piece, as a list does."""
         rows = self._news.pop(due)
-        self.told_rows.update(rows)
-        news = api.Listed(Scope.CHANGES, tuple(rows.values()))
+        if not self.list_fails:
+            self.told_rows.update(rows)
+            self._tell_all(Scope.CHANGES, rows)
+
+    def fail_list(self) -> None:
+        """The list answers nobody; a gateway that starts now knows no host."""
+        self.list_fails = True
+        for seat in self.seats:
+            seat.when_runs(seat.life, seat.hear, api.Listed(Scope.FAILED, ()))
+
+    def mend_list(self) -> None:
+        """It answers again, and each gateway reads it whole."""
+        self.list_fails = False
+        late = {number for rows in self._news.values() for number in rows}
+        changed = {n: row for n, row in self.rows.items() if n not in late and self.told_rows.get(n) != row}
+        self.told_rows.update(changed)
+        self._tell_all(Scope.COMPLETE, self.told_rows)
+
+    def first_list(self, seat: Seat) -> None:
+        """A gateway that starts reads the whole list."""
+        seat.told = {number: row.standing for number, row in self.told_rows.items()}
+        seat.unread = False
+        seat.hear(api.Listed(Scope.CACHED, tuple(self.told_rows.values())))
+
+    def _tell_all(self, scope: Scope, rows: dict[int, api.HostRow]) -> None:
         for seat in self.seats:
             if seat.policy is not None:
-                for row in news.rows:
-                    self.record(Told(self.now, seat.number, row.host, row.standing.value))
-                seat.when_runs(seat.life, seat.hear, news)
+                self._hear_list(seat, scope, rows)
+
+    def _hear_list(self, seat: Seat, scope: Scope, rows: dict[int, api.HostRow]) -> None:
+        for row in rows.values():
+            if seat.told.get(row.host) != row.standing:
+                seat.told[row.host] = row.standing
+                self.record(Told(self.now, seat.number, row.host, row.standing.value))
+        scope = Scope.CACHED if seat.unread and scope is Scope.COMPLETE else scope
+        seat.unread = False
+        seat.when_runs(seat.life, seat.hear, api.Listed(scope, tuple(rows.values())))
 
     # Setup tries.
 
@@ -347,9 +377,9 @@
         if box is None:
             self.engine.after(self.ground.way, self.end, stream, Ending.NO_CONNECTION, "")
             return
-        title = self.ground.titles[viewer.title].name
+        title = self.ground.titles[viewer.guest.title].name
         words = (stream.host, stream.seat.number, stream.name, stream.attempt)
-        self.record(TryCame(self.now, *words, viewer.plan, title, playback.rung))
+        self.record(TryCame(self.now, *words, viewer.guest.plan, title, playback.rung))
         stream.came = True
         self.streams[stream.host][stream.key] = stream
         if box.pushed_over(self.now):
@@ -366,8 +396,8 @@
 
     def _rate(self, playback: Playback) -> float:
         viewer = playback.viewer
-        told = self.terms.ladder.rates[playback.rung] * self.terms.plans[viewer.plan].scale
-        return true_rate(self.ground.titles[viewer.title].name, told)
+        told = self.terms.ladder.rates[playback.rung] * self.terms.plans[viewer.guest.plan].scale
+        return true_rate(self.ground.titles[viewer.guest.title].name, told)
 
     def _flow(self, stream: Stream, box: Box) -> None:
         if stream.over or self.boxes.get(stream.host) is not box:
@@ -391,8 +421,7 @@
         self.record(Answered(self.now, playback.request, 201, stream.name, playback.rung))
         seat.recall.played(self.now)
         seat.hear(api.Flowing(*words, self.now - stream.sent))
-        stream.since = self.now
-        playback.viewer.player.begins(self.now, box.share(self.now))
+        playback.viewer.begins(self.now, stream.rung, box.share(self.now))
         self._look_later(stream)
 
     def _look_later(self, stream: Stream) -> None:
@@ -414,19 +443,15 @@
         else:
             self._look_later(stream)
 
-    def _count_revenue(self, stream: Stream) -> None:
-        viewer = stream.playback.viewer
-        viewer.takings.pass_time(self.now - stream.since, stream.rung, viewer.player.share)
-        stream.since = self.now
-
     def end(self, stream: Stream, ending: Ending, how: str) -> None:
         """A try or its stream is over, for its host at once and for its gateway when it runs."""
         if stream.over:
             return
         stream.over = True
         if stream.flows:
-            self._count_revenue(stream)
-            stream.playback.viewer.player.breaks_off(self.now)  # where it had not seen all, or left
+            viewer = stream.playback.viewer
+            over = viewer.player.over or ending is Ending.SERVED
+            self._comes(viewer, viewer.happen(self.now, "done" if over else "broke"))
         box = self.boxes.get(stream.host)
         load = api.Load()
         if stream.came:
@@ -442,15 +467,12 @@
     def _ended(self, stream: Stream, ending: Ending, load: api.Load) -> None:
         playback, seat = stream.playback, stream.seat
         final = playback.state != "asked"
-        broke = playback.state == "playing"
-        if broke:
+        if playback.state == "playing":
             playback.state = "over"
         words = (playback.number, stream.attempt, stream.host, ending, self.now - stream.sent)
         seat.hear(api.Ended(*words, final, load))
         if playback.state == "over":
             seat.playbacks.pop(playback.number, None)
-            if broke and playback.viewer.left > SECOND:
-                self._again(playback.viewer, 0)
 
     def set_rung(self, seat: Seat, pb: int, rung: int) -> None:
         """The decisions set a rung; for what plays the host hears of it."""
@@ -466,12 +488,11 @@
         box = self.boxes.get(stream.host)
         if box is not None and not stream.over and not box.ails.mute:
             viewer = stream.playback.viewer
-            words = (stream.host, stream.seat.number, stream.name, viewer.plan, rung)
+            words = (stream.host, stream.seat.number, stream.name, viewer.guest.plan, rung)
             self.record(RungSet(self.now, *words))
             box.rates[stream.key] = self._rate(stream.playback)
-            self._count_revenue(stream)
             stream.rung = rung
-            viewer.takings.step()
+            viewer.sees(self.now, rung, viewer.player.share)
 
     def probe(self, seat: Seat, host: int) -> None:
         """A probe leaves its gateway."""
@@ -510,14 +531,13 @@
         # Players feel a change of share at the next of these moments.
         for stream in self.streams.get(box.number, {}).values():
             if stream.flows:
-                self._count_revenue(stream)
-                stream.playback.viewer.player.shares(self.now, 0.0 if box.ails.mute else share)
+                stream.playback.viewer.sees(self.now, stream.rung, 0.0 if box.ails.mute else share)
                 self._look_later(stream)
         for stream in self._speakers(box) if not box.ails.mute else ():
             key = box.number, stream.seat.number
             if share < 0.98 or self._short.get(key):
                 self._short[key] = share < 0.98
-                self.engine.after(lag, self._note, stream, News.SHARE, share)
+                self.engine.after(lag, self._note, stream, News.SHARE, box.told_share(share))
         self.engine.after(self.ground.deliver_every, self._deliver, box)
 
     def _tell(self, box: Box) -> None:
@@ -532,53 +552,31 @@
 
     # Viewers.
 
-    def _arrive(self) -> None:
-        if self.now >= self.until:
-            return
-        dice = self.dice
-        self._viewers += 1
-        plan = dice.randrange(len(self.terms.plans))
-        title = dice.choices(range(len(self.ground.titles)), self._weights)[0]
-        crowd_draw, crowd_title = dice.random(), dice.random()
-        if self.crowd is not None and crowd_draw < self.crowd[0]:
-            title = len(self.ground.titles) - 1 - int(crowd_title * self.crowd[1])
-        terms = self.terms.plans[plan]
-        top = min(terms.top, len(self.terms.ladder.rates) - 1)
-        if dice.random() < 0.3:
-            top = max(terms.floor, top - 1)
-        lasts = int(dice.uniform(*self.ground.lasts) * SECOND)
-        own = random.Random(dice.getrandbits(60))
-        habits = Habits(
-            SECOND,
-            2 * SECOND,
-            int(own.uniform(*self.ground.start_patience) * SECOND),
-            int(own.uniform(*self.ground.stall_patience) * SECOND),
-            lasts,
-        )
-        takings = Takings(Tariff(terms.revenue, self.terms.ladder.earns), top)
-        viewer = Viewer(self._viewers, plan, title, Player(self.now, habits), takings, own)
+    def _arrive(self, guest: Guest) -> None:
+        viewer = Visitor(guest, self.habits, self.ground.tariffs[guest.plan], self.now)
         self.viewers.append(viewer)
         self._ask(viewer)
-        self.engine.after(int(dice.expovariate(self.rate) * SECOND), self._arrive)
 
-    def _ask(self, viewer: Viewer) -> None:
-        viewer.player.pass_to(self.now)
-        if viewer.player.over:
-            return  # it would not wait so long
-        viewer.visits += 1
+    def _comes(self, viewer: Visitor, comes: Comes | None) -> None:
+        if comes is not None and self.now < self.until:
+            self.engine.after(comes.after, self._ask, viewer)
+
+    def _ask(self, viewer: Visitor) -> None:
+        number = viewer.asks(self.now, range(len(self.seats)))
+        if number is None:
+            return
         self._requests += 1
-        seat = viewer.dice.choice(self.seats)
-        request, patience = self._requests, self.ground.patience[viewer.plan]
-        title = self.ground.titles[viewer.title]
-        words = (request, seat.number, viewer.plan, title.name, viewer.top, patience)
+        guest, seat = viewer.guest, self.seats[number]
+        request, patience = self._requests, self.ground.patience[guest.plan]
+        title = self.ground.titles[guest.title]
+        words = (request, seat.number, guest.plan, title.name, guest.top, patience)
         self.record(Asked(self.now, *words))
         if seat.policy is None:
             self.record(Lost(self.now, request, False))
-            self._again(viewer, 0)
+            self._comes(viewer, viewer.happen(self.now, "lost"))
             return
-        playback = Playback(
-            0, request, viewer, self.now, self.now + patience, self.terms.plans[viewer.plan].floor
-        )
+        floor = self.terms.plans[guest.plan].floor
+        playback = Playback(0, request, viewer, self.now, self.now + patience, floor)
         seat.when_runs(seat.life, self._take, seat, playback)
         self.engine.after(patience + 300 * MS, self._give_up, seat, seat.life, playback)
 
@@ -588,18 +586,18 @@
         seat.count += 1
         playback.number = seat.count
         # The gateway's clock for a request begins when it takes it.
-        patience = self.ground.patience[playback.viewer.plan]
+        viewer, guest = playback.viewer, playback.viewer.guest
+        patience, title = self.ground.patience[guest.plan], self.ground.titles[guest.title]
         playback.due = self.now + patience
         seat.playbacks[playback.number] = playback
-        viewer, title = playback.viewer, self.ground.titles[playback.viewer.title]
         request = api.Request(
             playback.number,
-            viewer.plan,
-            float(viewer.top),
+            guest.plan,
+            float(guest.top),
             title.home,
             title.copies,
-            viewer.title + 1,
-            viewer.number,
+            guest.title + 1,
+            guest.number,
             patience,
             False,
             viewer.visits > 1,
@@ -616,10 +614,9 @@
         self.record(Answered(self.now, playback.request, status, f"{seat.life}-{pb}", 0))
         if playback.stream is None or playback.stream.over:
             seat.playbacks.pop(pb, None)
-        if status == 503:
-            self._again(
-                playback.viewer, seat.recall.advise(self.now) if wait and self.ground.recall else wait
-            )
+        advice = seat.recall.advise(self.now) if wait and self.ground.recall else wait
+        happening = "rejected" if status == 503 else "aborted"
+        self._comes(playback.viewer, playback.viewer.happen(self.now, happening, advice))
 
     def _give_up(self, seat: Seat, life: str, playback: Playback) -> None:
         if playback.state == "asked":
@@ -629,23 +626,7 @@
                 seat.when_runs(life, seat.hear, api.ViewerLeft(playback.number))
             if playback.stream is not None:
                 self.end(playback.stream, Ending.CALLED_OFF, "closed")
-            self._again(playback.viewer, 0)
-
-    def _again(self, viewer: Viewer, advice: int) -> None:
-        if viewer.visits < self.VISITS and self.now < self.until:
-            heeds = advice and viewer.dice.random() < self.ground.honour
-            pause = int(viewer.dice.uniform(*self.ground.pause) * SECOND)
-            self.engine.after(max(advice, pause) if heeds else pause, self._ask, viewer)
-
-    def watched(self) -> float:
-        """The part of what viewers wanted to watch that they did."""
-        wanted = sum(viewer.player.habits.wants for viewer in self.viewers)
-        return sum(viewer.player.seen for viewer in self.viewers) / max(1, wanted)
-
-    def earned(self) -> float:
-        """Revenue by the second over that of the best rung for all that viewers wanted to watch."""
-        asked = sum(viewer.takings.worth(viewer.player.habits.wants) for viewer in self.viewers)
-        return sum(viewer.takings.earned for viewer in self.viewers) / asked if asked else 0.0
+            self._comes(playback.viewer, playback.viewer.happen(self.now, "unheard"))
 
     # Gateways.
 
@@ -663,8 +644,8 @@
                 self.record(Lost(self.now, playback.request, True))
             if playback.stream is not None:
                 self.end(playback.stream, Ending.BROKEN, "closed")
-            if state != "over" and playback.viewer.left > SECOND:
-                self._again(playback.viewer, 0)
+            if state == "asked":
+                self._comes(playback.viewer, playback.viewer.happen(self.now, "lost"))
 
     def stop(self, number: int) -> None:
         """It stands still; what comes waits."""
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -10,7 +10,8 @@
 
 from burlmast.http1.server import Bounds, Exchange, Server
 from burlmast.settings.sheets import Deployment
-from burlmast.world.box import Ailment, Box, Rack, true_rate
+from burlmast.world.box import Ailment, Box, Course, Rack, host_id, true_rate
+from burlmast.world.capacity import Change
 from burlmast.world.traffic import HostUp, Record, RungSet, TryCame, TryOver
 
 MS = 1_000_000
@@ -221,7 +222,10 @@
         elif not self.box.ails.mute:
             size = rates[int(rung)] * self.fleet.deployment.edge.segment_ms / 1000
             body = bytes(int(size * self.fleet.deployment.stand_ins.media_bytes_per_kb))
-            exchange.respond(200, ((b"content-type", b"video/iso.segment"), self.load_header()), body)
+            # The media that links would carry is not sent; what a stream gets of its rate is said instead.
+            name, told = self.load_header()
+            told += b", burlmast-share=%.3f" % self.box.share(self.fleet.now())
+            exchange.respond(200, ((b"content-type", b"video/iso.segment"), (name, told)), body)
 
     def speakers(self) -> list[Stream]:
         """One stream of each gateway that plays here."""
@@ -242,8 +246,12 @@
         deployment: Deployment,
         record: Callable[[Record], None] = lambda record: None,
         changed: Callable[[list[dict[str, object]]], None] = lambda rows: None,
+        noise: float = 0.0,
     ) -> None:
-        """`record` takes what hosts see, `changed` the rows of the list that have changed."""
+        """`record` takes what hosts see, `changed` the rows of the list that have changed; `noise` is the
+        part by which reports are off."""
+        self.noise = noise
+        self.courses: dict[int, Course] = {}  # of hosts' links, over all their lives
         self.deployment, self.record, self.changed = deployment, record, changed
         fleet, stand_ins, rules = deployment.fleet, deployment.stand_ins, deployment.rules
         self.loop = asyncio.get_running_loop()
@@ -273,7 +281,7 @@
 
     async def add(self, cell: int, cold: bool) -> MediaHost:
         """A new host in this cell, with an id that was never used."""
-        number, self._next = 1000 + 37 * self._next, self._next + 1
+        number, self._next = host_id(self._next), self._next + 1
         fleet = self.deployment.fleet
         kind = (self._next - 1) % len(fleet.streams_by_kind)
         row: dict[str, object] = {
@@ -309,6 +317,7 @@
         )
         rules = self.deployment.rules
         box.bears = rules.fall_multiple, int(rules.fall_span_ms * MS)
+        box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
         host = MediaHost(self, box, row)
         await host.start(port)
         wall = time.time_ns() if cold else time.time_ns() - 10 * max(self._warm_after, 1)
@@ -345,6 +354,14 @@
         host = await self.add(int(str(row["cell"])), cold=True)
         self.changed([dict(host.row)])
 
+    def gives(self, change: Change) -> None:
+        """A link or uplink gives another part of its capacity from now on."""
+        if change.kind == "racks":
+            course = self.racks[change.number].course
+        else:
+            course = self.courses.setdefault(host_id(change.number), Course())
+        course.parts[change.place] = change.part
+
     def _stands(self, number: int, standing: str) -> None:
         row = self.rows[number]
         row["standing"] = standing
@@ -388,7 +405,7 @@
             for stream in host.speakers():
                 gateway = stream.words.gateway
                 if share < 0.98 or gateway in short:
-                    host.say(stream, {"share": round(share, 4)})
+                    host.say(stream, {"share": box.told_share(share)})
                     (short.add if share < 0.98 else short.discard)(gateway)
         if now - self._told.get(number, 0) >= stand_ins.tell_every_ms * MS:
             self._told[number] = now
--- a/burlmast/standin/viewer.py
+++ b/burlmast/standin/viewer.py
@@ -5,13 +5,16 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import NamedTuple
 
 import msgspec
+from http_sfv.dictionary import Dictionary
 
 from burlmast.http1.client import Address, Call, Failure, Pool, Whole
 from burlmast.http1.messages import Headers
 from burlmast.world.traffic import Answered, Asked, GaveUp, Lost, Record
+from burlmast.world.visitor import Visitor
 
 JSON: Headers = ((b"content-type", b"application/json"),)
 SECOND = 1_000_000_000
@@ -115,30 +118,52 @@
         self.record(Answered(now, request, status, told.playback, told.rung))
         return Answer(status, told)
 
-    async def follow(
-        self,
-        address: Address,
-        told: Told,
-        lasts: float,
-        every: float,
-        shown: Callable[[bytes], None] = lambda playlist: None,
-    ) -> str:
-        """Read the playlist until the playback is over; `watched`, `ended` before its time, or `broken`."""
-        until = time.monotonic() + lasts
+    async def follow(self, address: Address, told: Told, visitor: Visitor, every: float) -> str:
+        """Play until the player is over or its stream is: `done` or `broke`.
+
+        Each look fetches the playlist and the newest segment that it names; the segment's answer says what
+        part of its rate the stream gets.
+        """
         target = told.manifest.encode("ascii")
-        while time.monotonic() < until:
+        visitor.begins(time.monotonic_ns(), told.rung, 1.0)
+        while not visitor.player.over:
             try:
                 status, _, playlist = await Whole.of(self.pool, address, b"GET", target, within=8.0)
             except (ConnectionError, TimeoutError):
-                return "broken"
-            if status != 200:
-                return "broken"
-            shown(playlist)
-            if b"#EXT-X-ENDLIST" in playlist:
-                return "ended"
-            await asyncio.sleep(min(every, max(0.0, until - time.monotonic())))
-        try:
+                return "broke"
+            if status != 200 or b"#EXT-X-ENDLIST" in playlist:
+                return "broke"
+            rung, share = await self._newest(playlist)
+            visitor.sees(time.monotonic_ns(), told.rung if rung is None else rung, share)
+            due = (visitor.player.due - time.monotonic_ns()) / SECOND
+            await asyncio.sleep(max(0.0, min(every, due)))
+            visitor.player.pass_to(time.monotonic_ns())
+        with suppress(ConnectionError, TimeoutError):
             await Whole.of(self.pool, address, b"DELETE", target.rpartition(b"/")[0], within=2.0)
+        return "done"
+
+    async def _newest(self, playlist: bytes) -> tuple[int | None, float]:
+        """The rung of the playlist's newest segment, and the share that its host tells; 0 from one that does
+        not answer."""
+        lines = [line for line in playlist.splitlines() if line and not line.startswith(b"#")]
+        if not lines:
+            return None, 1.0
+        place, _, path = lines[-1].removeprefix(b"http://").partition(b"/")
+        name, _, port = place.decode("ascii").rpartition(":")
+        rung = int(path.split(b"/")[3])
+        try:
+            status, headers, _ = await Whole.of(self.pool, (name, int(port)), b"GET", b"/" + path, within=1.0)
         except (ConnectionError, TimeoutError):
-            return "broken"
-        return "watched"
+            return rung, 0.0
+        return rung, share_told(headers) if status == 200 else 0.0
+
+
+def share_told(headers: list[tuple[bytes, bytes]]) -> float:
+    """What part of its rate a stream gets, as a segment's answer says; all of it where it says nothing."""
+    for name, value in headers:
+        if name.lower() == b"cmsd-dynamic":
+            found = Dictionary()
+            with suppress(ValueError):
+                found.parse(value)
+                return float(found["burlmast-share"].value)
+    return 1.0
--- a/burlmast/world/box.py
+++ b/burlmast/world/box.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import deque
 from dataclasses import dataclass, field
@@ -24,6 +25,18 @@
     late: float = 0.0  # seconds by which reports are later
 
 
+@dataclass
+class Course:
+    """What the courses of a day leave of a link's capacity; several multiply."""
+
+    parts: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def part(self) -> float:
+        """The part that is given now."""
+        return math.prod(self.parts.values())
+
+
 @dataclass
 class Rack:
     """Hosts behind one uplink, kB a second."""
@@ -31,10 +44,13 @@
     uplink: float
     less: float = 1.0
     boxes: list[Box] = field(default_factory=list)
+    course: Course = field(default_factory=Course)
 
     def asked(self) -> float:
         """What is asked of the uplink over what it gives."""
-        return sum(box.asked_kb() for box in self.boxes) / max(1.0, self.uplink / self.less)
+        return sum(box.asked_kb() for box in self.boxes) / max(
+            1.0, self.uplink / self.less * self.course.part
+        )
 
 
 class Box:
@@ -55,10 +71,12 @@
         self._cold_share, self._warm_after = cold_share, warm_after
         self.started = started
         self.ails = Ailment()
+        self.course = Course()
+        self.noise = 0.0  # part by which what it reports is off
         self.ails_since = started
         self.rates: dict[str, float] = {}
         self.draining = False
-        self._draws = 0
+        self._draws = self._reports = 0
         self.bears: tuple[float, int] = 1.0, 0  # times its pace, and within what span, that push it over
         self._came: deque[int] = deque(maxlen=1024)
         self._history: deque[tuple[int, float]] = deque(maxlen=256)
@@ -81,7 +99,7 @@
 
     def link_now(self, now: int) -> float:
         """kB a second that its link gives now."""
-        given = self.link / self.ails.link * self.warmed(now)
+        given = self.link / self.ails.link * self.warmed(now) * self.course.part
         turn = int(self.ails.neighbour_turn * 1e9)
         if self.ails.neighbour and (not turn or (now // turn) % 2 == 0):
             given *= 1 - self.ails.neighbour
@@ -98,7 +116,19 @@
 
     def load(self, now: int) -> api.Load:
         """What it reports of itself."""
-        return api.Load(float(len(self.rates)), round(self.link_asked(now), 4), round(self.rack.asked(), 4))
+        link, uplink = self._told(self.link_asked(now)), self._told(self.rack.asked())
+        return api.Load(float(len(self.rates)), link, uplink)
+
+    def told_share(self, share: float) -> float:
+        """A share as it reports it."""
+        return share if share >= 1 else min(1.0, self._told(share))
+
+    def _told(self, figure: float) -> float:
+        if self.noise:
+            self._reports += 1
+            drawn = zlib.crc32(f"{self.number}:report:{self._reports}".encode()) / 2**32
+            figure *= 1 + self.noise * (2 * drawn - 1)
+        return round(figure, 4)
 
     def refuses(self) -> str:
         """Why a set-up is turned away before any work, or nothing."""
@@ -139,6 +169,11 @@
         return found
 
 
+def host_id(place: int) -> int:
+    """The id of the machine that was the nth of its fleet to be started, from 0."""
+    return 1000 + 37 * place
+
+
 def true_rate(title: str, rate: float, vary: float = 0.15) -> float:
     """What a title's rung really takes: above or below the ladder, the same for all."""
     return rate * (1 + vary * (2 * zlib.crc32(title.encode()) / 2**32 - 1))
--- a/burlmast/world/troubles.py
+++ b/burlmast/world/troubles.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from burlmast.world import capacity, crowd
+
 
 class Kind(NamedTuple):
     """A kind of trouble: what it strikes, and what `size` and `extra` mean for it."""
@@ -54,12 +56,21 @@
 
 
 class Day(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A scripted day: how long viewers come, and what goes wrong meanwhile."""
+    """A scenario: how long viewers come, what they are like, and what goes wrong meanwhile.
+
+    Virtual time and sockets play the same one.
+    """
 
     name: str
     lasts: float
     troubles: tuple[Trouble, ...] = ()
     load: float = 1.0
+    settings: str = ""  # the deployment's file, beside the scenario's
+    gateways: int | None = None  # in place of the settings' numbers
+    hosts: int | None = None
+    viewers: crowd.Viewers = crowd.Viewers()
+    capacity: tuple[capacity.Capacity, ...] = ()
+    noise: float = 0.0  # part by which hosts' reports are off
 
 
 class NotADay(Exception):
@@ -84,9 +95,35 @@
             raise NotADay(f"{key}.part: must be above 0 and at most 1")
         if one.size <= 0 or one.extra <= 0:
             raise NotADay(f"{key}: size and extra must be above 0")
+    if not 0 <= day.noise < 1:
+        raise NotADay("noise: must be 0 to under 1")
+    if not 1 <= (day.gateways or 1) <= 1000 or not 1 <= (day.hosts or 1) <= 10000:
+        raise NotADay("gateways, hosts: must be 1 to 1000 and 1 to 10000")
+    for key, what in (*capacity.faults(day.capacity, None, None), *crowd.faults(day.viewers, None)):
+        raise NotADay(f"{key}: {what}")
     return day
 
 
+def check_names(day: Day, market: crowd.Market, racks: int, hosts: int) -> Day:
+    """The day, if every plan, title, rack and host that it names is there. Raises NotADay."""
+    for key, what in (*capacity.faults(day.capacity, racks, hosts), *crowd.faults(day.viewers, market)):
+        raise NotADay(f"{key}: {what}")
+    return day
+
+
+def guests(day: Day, market: crowd.Market, seed: int) -> list[crowd.Guest]:
+    """Who comes on this day, its bursts and crowds included."""
+    floods = [
+        crowd.Flood(one.start, one.start + one.lasts, one.size)
+        if one.kind == "burst"
+        else crowd.Flood(one.start, one.start + one.lasts, 1.0, one.size, max(1, int(one.extra)))
+        for one in day.troubles
+        if KINDS[one.kind].strikes == "viewers"
+    ]
+    full = market._replace(rate=market.rate * day.load)
+    return crowd.guests(day.viewers, full, floods, day.lasts, seed)
+
+
 def struck(things: Sequence[int], part: float, seed: int, place: int) -> list[int]:
     """Which of these a trouble strikes: one at least, by the seed and the trouble's place in the day."""
     return sorted(random.Random(f"{seed}:{place}").sample(sorted(things), max(1, round(part * len(things)))))
@@ -135,6 +172,7 @@
         Trouble("short links", 6, 5, 0.25, 3),
         Trouble("stalls", 9, 3, 0.34, 1.5),
     ),
+    viewers=crowd.Viewers(lasts=crowd.Uniform(3.0, 7.0)),
 )
 QUIET = Day("quiet", 8.0)
 DAYS = {day.name: day for day in (STANDARD, SHORT, QUIET)}
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -12,7 +12,8 @@
 from town import SAMPLES, sample
 
 from burlmast.api import Repeat
-from burlmast.badday.day import BEGINS, ENDS, rulebook
+from burlmast.badday.day import BEGINS, ENDS
+from burlmast.settings.scenes import rulebook
 from burlmast.world.audit import Rulebook, Verdict, audit
 from burlmast.world.benchday import MATCHES, from_bench
 from burlmast.world.traffic import (
@@ -185,8 +186,9 @@
 
 
 def test_every_kind_of_trouble_can_be_struck_and_ends_or_ends_by_itself() -> None:
-    assert set(BEGINS) == set(KINDS)
-    assert set(KINDS) - set(ENDS) == {"restarts", "stalls"}
+    of_viewers = {kind for kind, one in KINDS.items() if one.strikes == "viewers"}
+    assert set(BEGINS) | of_viewers == set(KINDS)
+    assert set(KINDS) - of_viewers - set(ENDS) == {"restarts", "stalls"}
     assert len({one.kind for one in STANDARD.troubles}) >= 8 and STANDARD.lasts < 60
     assert all(check(day) is day for day in DAYS.values())
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -12,11 +12,11 @@
 from hypothesis import strategies as st
 from town import SAMPLES, sample
 
-from burlmast.badday.day import rulebook
 from burlmast.logic import Gateway
-from burlmast.model.day import BEGINS, ENDS, NOT_MODELLED, play
+from burlmast.model.day import BEGINS, ENDS, play
 from burlmast.model.engine import Engine
 from burlmast.model.ground import ground
+from burlmast.settings.scenes import rulebook
 from burlmast.world.audit import Verdict
 from burlmast.world.box import Box, Rack
 from burlmast.world.plants import plant
@@ -30,7 +30,7 @@
     day: Day, seed: int = 1, maker: object = Gateway, name: str = "training"
 ) -> tuple[Verdict, list[Record]]:
     deployment = sample(name, rules__warm_after_ms=5000.0)
-    return play(ground(deployment, day.load), day, seed, maker, rulebook(deployment))[:2]  # type: ignore[arg-type]
+    return play(ground(deployment), day, seed, maker, rulebook(deployment))[:2]  # type: ignore[arg-type]
 
 
 @pytest.mark.parametrize("name", ["training", "recordings", "guides"])
@@ -84,16 +84,18 @@
 
 def test_short_links_stall_players_and_cost_revenue_and_some_leave() -> None:
     deployment = sample("recordings", rules__warm_after_ms=5000.0)
-    place = ground(deployment, 1.0)
+    place = ground(deployment)
     short = Day("short", 12.0, (Trouble("short links", 2, 10, 1.0, 8),))
     well, ill = (play(place, day, 3, Gateway, rulebook(deployment)) for day in (Day("well", 12.0), short))
-    assert well.stalls_a_viewer == 0 and well.left_early == 0 and well.watched > 0.99
-    assert ill.stalls_a_viewer > 0.2 and ill.left_early > 0 and ill.earned < well.earned
+    calm, hurt = well.players, ill.players
+    assert calm.stalls_a_viewer == 0 and calm.left_early == 0 and calm.watched > 0.99
+    assert hurt.stalls_a_viewer > 0.2 and hurt.left_early > 0 and hurt.earned < calm.earned
     assert not well.verdict.broken and not ill.verdict.broken
 
 
-def test_every_kind_of_trouble_is_modelled_or_said_not_to_be() -> None:
-    assert set(BEGINS) | NOT_MODELLED == set(KINDS)
+def test_every_kind_of_trouble_is_modelled() -> None:
+    of_viewers = {kind for kind, one in KINDS.items() if one.strikes == "viewers"}
+    assert set(BEGINS) | of_viewers == set(KINDS)
     assert set(BEGINS) - set(ENDS) == {"restarts", "stalls"}
 
 
