burlmast experiment: grids over processes, resumable, compared in pairs, one report

Cause: designs were compared by scripts of their own, each run lost what it had found when it was ended, and nothing showed baselines or parts left out beside the decisions.

Change: experiment/ plays scenarios x settings x policies x seeds in the model.

--- a/benchmarks/model.py
+++ b/benchmarks/model.py
@@ -56,7 +56,7 @@
         speeds, costs = [], []
         for turn in range(found.rounds):
             began = time.process_time()
-            verdict, records, _ = play(ground(one), day, turn, Gateway, rulebook(one))
+            verdict, records, *_ = play(ground(one), day, turn, Gateway, rulebook(one))
             took = time.process_time() - began
             lasted = (records[-1].at - records[0].at) / 1e9
             speeds.append(lasted / took)
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -409,3 +409,85 @@
     from burlmast.standin.watch import watch as play
 
     raise SystemExit(asyncio.run(play(url, title, plan or "explainer", lasts, top, click.echo)))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option(
+    "--out", type=click.Path(file_okay=False), default=None, help="A folder; the file's own name by default."
+)
+@click.option(
+    "--processes", type=click.IntRange(1, 256), default=None, help="The machine's cores by default."
+)
+@click.option("--quiet", is_flag=True, help="No progress bar.")
+def experiment(file: str, out: str | None, processes: int | None, quiet: bool) -> None:
+    """Play the grid that FILE states, compare its arms in pairs and write a report.
+
+    Finished days are kept in the folder's ledger: a run that was ended at any moment goes on where it was.
+    Ends with 0, with 1 where days had to be given up, with 2 where the grid cannot be played.
+    """
+    import os
+
+    from rich.console import Console
+    from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+
+    from burlmast.experiment import columns, compare, report
+    from burlmast.experiment.ledger import InUse, Ledger
+    from burlmast.experiment.plan import BadPlan, code_digest, read_plan
+    from burlmast.experiment.roster import Roster
+    from burlmast.experiment.run import Sweep
+
+    folder = Path(out) if out else Path("experiments") / Path(file).stem
+    try:
+        plan = read_plan(file)
+        ledger = Ledger(folder / "ledger.blx")
+    except (BadPlan, InUse, OSError) as why:
+        click.echo(f"experiment: {why}", err=True)
+        raise SystemExit(2) from None
+    if ledger.skipped:
+        click.echo(f"experiment: {ledger.skipped} damaged bytes of the ledger are left out", err=True)
+    sweep = Sweep(plan.cells, code_digest(), ledger, processes or os.cpu_count() or 1)
+    bar = Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeRemainingColumn(),
+        console=Console(stderr=True),
+        disable=quiet,
+    )
+    try:
+        with bar:
+            task = bar.add_task(plan.statement.name, total=len(plan.cells))
+
+            def show(roster: Roster) -> None:
+                bar.update(task, completed=roster.count(("done", "given up")))
+
+            show(sweep.roster)
+            sweep.run(show)
+    except KeyboardInterrupt:
+        done = sweep.roster.count(("done",))
+        click.echo(f"experiment: {done} of {len(plan.cells)} are kept; the same command goes on", err=True)
+        raise SystemExit(130) from None
+    except OSError as why:
+        click.echo(f"experiment: {why}; what is on disk is kept", err=True)
+        raise SystemExit(2) from None
+    finally:
+        ledger.close()
+    results, given_up = sweep.results(), sweep.given_up()
+    rows = compare.rows(plan.cells, results, plan.statement.against)
+    columns.write(plan.cells, results, folder / "results.parquet")
+    report.write(report.page(plan, results, rows, given_up), folder / "report.html")
+    for row in rows:
+        told = [f"{row.scenario}: {row.variant}, {row.policy}:"]
+        for name in ("earned", "service"):
+            gain = row.gains.get(name)
+            told.append(
+                f"{name} {row.means[name]:.4f}" + (f" {gain.mean:+.4f} {gain.verdict}" if gain else "")
+            )
+        if row.rules:
+            told.append("rules broken: " + ", ".join(map(str, row.rules)))
+        click.echo("  ".join(told))
+    for cell, cause in given_up:
+        click.echo(f"given up: {', '.join(cell.arm)}, seed {cell.seed}: {cause}", err=True)
+    click.echo(str(folder / "report.html"))
+    raise SystemExit(1 if given_up else 0)
--- a/burlmast/model/day.py
+++ b/burlmast/model/day.py
@@ -8,6 +8,7 @@
 from burlmast.model.fleet import Decides, Fleet, Ground
 from burlmast.world.audit import Rulebook, Verdict, audit
 from burlmast.world.capacity import changes
+from burlmast.world.player import SHORT
 from burlmast.world.traffic import Record
 from burlmast.world.troubles import Day, Trouble, edges, guests, struck
 from burlmast.world.visitor import Tally, tally
@@ -187,6 +188,45 @@
     verdict: Verdict
     records: list[Record]
     players: Tally
+    samples: list[Sample]
+
+
+class Sample(NamedTuple):
+    """The fleet at one moment of the day."""
+
+    at: float  # seconds from the day's start
+    playing: tuple[int, ...]  # streams on each rung
+    link_use: float  # what is asked of all hosts' links over what they give
+    short: float  # part of hosts whose streams get less than their rate
+    gateways: int  # that run
+
+
+class Sampler:
+    """Looks at a fleet every so often."""
+
+    EVERY = SECOND
+
+    def __init__(self, fleet: Fleet, start: int, until: int) -> None:
+        self.fleet, self.start, self.until = fleet, start, until
+        self.samples: list[Sample] = []
+        fleet.engine.at(start, self._look)
+
+    def _look(self) -> None:
+        fleet, now = self.fleet, self.fleet.now
+        rungs = [0] * len(fleet.terms.ladder.rates)
+        for streams in fleet.streams.values():
+            for stream in streams.values():
+                if stream.flows:
+                    rungs[stream.rung] += 1
+        boxes = list(fleet.boxes.values())
+        given = sum(box.link_now(now) for box in boxes)
+        use = sum(box.asked_kb() for box in boxes) / given if given else 0.0
+        short = sum(box.share(now) < SHORT for box in boxes) / max(1, len(boxes))
+        runs = sum(seat.policy is not None and seat.stopped is None for seat in fleet.seats)
+        at = (now - self.start) / SECOND
+        self.samples.append(Sample(at, tuple(rungs), round(use, 4), round(short, 4), runs))
+        if now + self.EVERY <= self.until:
+            fleet.engine.after(self.EVERY, self._look)
 
 
 def play(ground: Ground, day: Day, seed: int, maker: Callable[..., Decides], book: Rulebook) -> Played:
@@ -194,7 +234,9 @@
     records: list[Record] = []
     fleet = Fleet(ground, maker, seed, records.append, day.viewers, day.noise)
     coming = guests(day, ground.market, seed)
-    Script(fleet, day, seed).schedule(fleet.begin(int(day.lasts * SECOND), coming))
+    start = fleet.begin(int(day.lasts * SECOND), coming)
+    Script(fleet, day, seed).schedule(start)
+    sampler = Sampler(fleet, start, fleet.until)
     longest = max((guest.habits.wants for guest in coming), default=0)
     fleet.engine.run(fleet.until + longest + TAIL)
-    return Played(audit(records, book), records, tally(fleet.viewers))
+    return Played(audit(records, book), records, tally(fleet.viewers), sampler.samples)
