--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -428,10 +428,14 @@
     """
     import os
 
-    from rich.console import Console
-    from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+    try:
+        from rich.console import Console
+        from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
-    from burlmast.experiment import columns, compare, report
+        from burlmast.experiment import columns, compare, report
+    except ModuleNotFoundError as why:
+        click.echo(f"experiment: {why}; install burlmast[experiment]", err=True)
+        raise SystemExit(2) from None
     from burlmast.experiment.ledger import InUse, Ledger
     from burlmast.experiment.plan import BadPlan, code_digest, read_plan
     from burlmast.experiment.roster import Roster
--- a/burlmast/experiment/report.py
+++ b/burlmast/experiment/report.py
@@ -146,10 +146,41 @@
             axes = figure.subplots()
             draw(axes, arms)
             axes.legend(fontsize="x-small")
-            out = io.StringIO()
-            figure.savefig(out, format="svg", metadata={"Date": None})
-            drawn = out.getvalue()
-            yield f"{title}: {scenario}", drawn[drawn.index("<svg") :]
+            yield f"{title}: {scenario}", drawn(figure)
+
+
+def gains(rows: Sequence[Row], figure: str = "earned") -> str:
+    """Every arm's difference in one figure to the arm compared with, and its interval."""
+    from matplotlib.figure import Figure
+
+    told = [row for row in rows if row.gains]
+    names = list(dict.fromkeys(name_of((row.variant, row.policy)) for row in told))
+    scenarios = list(dict.fromkeys(row.scenario for row in told))
+    drawing = Figure(figsize=(9, 0.8 + 0.5 * len(names)))
+    axes = drawing.subplots()
+    for turn, scenario in enumerate(scenarios):
+        for row in told:
+            if row.scenario == scenario:
+                gain = row.gains[figure]
+                reach = (gain.high - gain.mean) if gain.high is not None else 0.0
+                place = names.index(name_of((row.variant, row.policy))) + 0.2 * turn
+                first = row is next(one for one in told if one.scenario == scenario)
+                label = scenario if first else None
+                axes.errorbar(gain.mean, place, xerr=reach, fmt="o", color=f"C{turn}", label=label)
+    axes.axvline(0.0, color="black", linewidth=0.8)
+    axes.set_yticks(range(len(names)), names)
+    axes.set(xlabel=f"{figure}: difference to the arm compared with, 95% interval")
+    axes.invert_yaxis()
+    axes.legend(fontsize="x-small")
+    return drawn(drawing)
+
+
+def drawn(figure: Any) -> str:
+    """A drawing as SVG text."""
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
 
 
 def page(
@@ -163,7 +194,7 @@
         plan=plan.statement,
         scenarios=scenarios,
         figures=list(FIGURES),
-        plots=list(plots(plan, results)),
+        plots=[("Revenue by the second, in pairs", gains(rows)), *plots(plan, results)],
         cells=len(plan.cells),
         done=sum(one is not None for one in results),
         given_up=given_up,
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -18,7 +18,7 @@
 from burlmast.world.box import Ailment, Box, Course, Rack, host_id, true_rate
 from burlmast.world.capacity import Change
 from burlmast.world.crowd import Guest, Market, Viewers
-from burlmast.world.player import Tariff
+from burlmast.world.player import SHORT, Tariff
 from burlmast.world.traffic import (
     Answered,
     Asked,
@@ -76,6 +76,7 @@
     tell_every: int
     deliver_every: int
     tell_uplinks: bool = True
+    smooth: int = 0
     recall: bool = False  # advice by `burlmast.recall` in place of the decisions' own
 
 
@@ -252,6 +253,7 @@
             started,
         )
         box.bears = rules.fall_multiple, rules.fall_span
+        box.smooth = self.ground.smooth
         box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
         self.boxes[number], self.streams[number] = box, {}
         zone = cell % self.ground.zones
@@ -539,11 +541,12 @@
             if stream.flows:
                 stream.playback.viewer.sees(self.now, stream.rung, 0.0 if box.ails.mute else share)
                 self._look_later(stream)
+        told = box.delivered(self.now)
         for stream in self._speakers(box) if not box.ails.mute else ():
             key = box.number, stream.seat.number
-            if share < 0.98 or self._short.get(key):
-                self._short[key] = share < 0.98
-                self.engine.after(lag, self._note, stream, News.SHARE, box.told_share(share))
+            if told < SHORT or self._short.get(key):
+                self._short[key] = told < SHORT
+                self.engine.after(lag, self._note, stream, News.SHARE, box.told_share(told))
         self.engine.after(self.ground.deliver_every, self._deliver, box)
 
     def _tell(self, box: Box) -> None:
--- a/burlmast/model/ground.py
+++ b/burlmast/model/ground.py
@@ -27,5 +27,6 @@
         list_delay=nanoseconds(stand_ins.list_delay_ms),
         tell_every=nanoseconds(stand_ins.tell_every_ms),
         deliver_every=nanoseconds(stand_ins.deliver_every_ms),
+        smooth=nanoseconds(stand_ins.smooth_ms),
         tell_uplinks=stand_ins.tell_uplinks,
     )
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -116,6 +116,7 @@
     set_up_ms: float = 20.0
     deliver_every_ms: float = 1000.0
     tell_every_ms: float = 2000.0
+    smooth_ms: float = 0.0  # time constant over which hosts smooth the shares that they tell
     tell_uplinks: bool = True  # whether hosts say what is asked of their rack's uplink
     link_spread: float = 0.2
     list_delay_ms: float = 300.0
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -317,6 +317,7 @@
         )
         rules = self.deployment.rules
         box.bears = rules.fall_multiple, int(rules.fall_span_ms * MS)
+        box.smooth = int(self.deployment.stand_ins.smooth_ms * MS)
         box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
         host = MediaHost(self, box, row)
         await host.start(port)
--- a/burlmast/world/box.py
+++ b/burlmast/world/box.py
@@ -9,6 +9,8 @@
 
 from burlmast import api
 
+SETTLED = 0.999  # a smoothed share above this is a whole one
+
 
 @dataclass
 class Ailment:
@@ -73,6 +75,8 @@
         self.ails = Ailment()
         self.course = Course()
         self.noise = 0.0  # part by which what it reports is off
+        self.smooth = 0  # time constant in nanoseconds over which the shares that it reports are smoothed
+        self._delivered: tuple[int, float] | None = None  # when, the share as it is reported
         self.ails_since = started
         self.rates: dict[str, float] = {}
         self.draining = False
@@ -123,6 +127,16 @@
         """A share as it reports it."""
         return share if share >= 1 else min(1.0, self._told(share))
 
+    def delivered(self, now: int) -> float:
+        """The share lately, smoothed; to be asked for at each delivery."""
+        share = self.share(now)
+        if self.smooth and self._delivered is not None:
+            then, before = self._delivered
+            share += (before - share) * math.exp((then - now) / self.smooth)
+            share = 1.0 if share > SETTLED else share
+        self._delivered = now, share
+        return share
+
     def _told(self, figure: float) -> float:
         if self.noise:
             self._reports += 1
@@ -157,7 +171,7 @@
 
     def remember(self, now: int) -> None:
         """Keep the share as it is now, for those who hear of it late."""
-        self._history.append((now, self.share(now)))
+        self._history.append((now, self.delivered(now)))
 
     def share_then(self, then: int) -> float:
         """The share as it was."""
--- a/deploy/samples/atsize.libsonnet
+++ b/deploy/samples/atsize.libsonnet
@@ -9,5 +9,5 @@
     uplink_kb: sample.fleet.link_kb * hosts / racks * uplink_part,
   },
   titles: [{ name: 'title-%03d' % n, home: (n * 7) % hosts, copies: 4 } for n in std.range(1, 2 * hosts)],
-  stand_ins+: { hosts: hosts, a_second: a_second, lasts_s: [25, 55], tell_uplinks: tell_uplinks },
+  stand_ins+: { hosts: hosts, a_second: a_second, lasts_s: [25, 55], smooth_ms: 1500, tell_uplinks: tell_uplinks },
 }
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -230,7 +230,7 @@
     assert [one.ledger.results[key] for key in one.keys] == [three.ledger.results[key] for key in three.keys]
     rows = compare.rows(plan.cells, one.results(), plan.statement.against)
     first, second = (report.page(plan, each.results(), rows, []) for each in (one, three))
-    assert first == second and first.count("<svg") == len(report.PLOTS)
+    assert first == second and first.count("<svg") == len(report.PLOTS) + 1
     assert [row.policy for row in rows] == ["llama", "random lowest"] and rows[1].gains["earned"].pairs == 3
 
 
--- a/tests/test_scenario.py
+++ b/tests/test_scenario.py
@@ -173,6 +173,19 @@
     assert all(0.4 <= one <= 0.6 for one in reports())
 
 
+def test_a_smoothed_share_comes_late_and_goes_late() -> None:
+    box = Box(host_id(0), Rack(1e6), 100.0, 9, 0.3, S, -100 * S)
+    box.smooth, box.rates = S, {"a": 50.0}
+    assert box.delivered(0) == 1.0
+    box.rates = {"a": 200.0}
+    told = [box.delivered(at * S) for at in range(1, 12)]
+    assert told[0] == pytest.approx(0.5 + 0.5 / 2.71828, abs=1e-4)
+    assert told == sorted(told, reverse=True) and told[-1] == pytest.approx(0.5, abs=1e-4)
+    box.rates = {"a": 50.0}
+    back = [box.delivered(at * S) for at in range(12, 24)]
+    assert back == sorted(back) and back[0] < 0.85 and back[-1] == 1.0
+
+
 def test_a_segments_answer_says_the_share() -> None:
     assert share_told([(b"CMSD-Dynamic", b"burlmast-link=2.000, burlmast-share=0.500")]) == 0.5
     assert share_told([(b"cmsd-dynamic", b"burlmast-share=")]) == 1.0 and share_told([]) == 1.0
