--- a/burlmast/stitch/shell.py
+++ b/burlmast/stitch/shell.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -76,6 +77,7 @@
         self._resuming: dict[str, Kept] = {}
         self.sound = True  # the disk takes what it is given
         self.counts: dict[str, int] = {}
+        self.waits: deque[float] = deque(maxlen=1000)  # seconds that the last pieces waited for the disk
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
         self.store.forget((), time.time_ns() - KEEP_REELS)
@@ -164,6 +166,7 @@
     async def _keep(
         self, changes: list[Change], counts: list[tuple[Shown, int, list[Heard]]], over: list[str]
     ) -> None:
+        began = self.loop.time()
         try:
             await self.loop.run_in_executor(self._thread, self._write, changes, over, time.time_ns())
             if not self.sound:
@@ -176,6 +179,7 @@
             for one, _, heard in counts:
                 one.reel.owe_heard(heard)
             self._over += over
+        self.waits.append(self.loop.time() - began)
         for one, count, heard in counts:
             one.reel.publish(count)
             if heard:
