--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -171,8 +171,12 @@
         if kept.title != wanted.title_name or kept.plan != self._plan_names[wanted.plan]:
             raise BadAsk(409, "that playback has another title or plan")
         earlier = driver.find(self._now(), resume)
-        if earlier is not None:
-            driver.leave(self._now(), earlier)
+        if earlier is None:
+            return
+        if earlier.out:
+            # Danger: its host may see the new setup try before the old stream's end: two for one playback.
+            raise BadAsk(409, "that playback plays here: go on reading its manifest")
+        driver.leave(self._now(), earlier)
 
     def _read(self, body: bytes) -> tuple[Wanted, str]:
         try:
--- a/burlmast/stitch/reel.py
+++ b/burlmast/stitch/reel.py
@@ -18,6 +18,7 @@
 
 MS = 1_000_000
 SECOND = 1_000_000_000
+NEVER = 1 << 62
 
 
 class Piece(msgspec.Struct, frozen=True, array_like=True):
@@ -80,12 +81,27 @@
         self.notice, self.chosen, self.point, self.number = notice, chosen, point, number
 
 
-class Stitching(NamedTuple):
+class Stitching:
     """What reels are stitched by, all of a gateway's alike."""
 
-    programme: Callable[[], Programme]
-    choose: Choose
-    wall: Callable[[], float]  # seconds of the wall clock
+    def __init__(self, programme: Callable[[], Programme], choose: Choose, wall: Callable[[], float]) -> None:
+        """`programme` tells what is in force, `choose` what there is of a notice, `wall` the wall clock's
+        second."""
+        self.programme, self.choose, self.wall = programme, choose, wall
+        self._read: Programme | None = None
+        self._for: dict[tuple[str, str], tuple[Notice, ...]] = {}
+
+    def notices(self, title: str, plan: str) -> tuple[Notice, ...]:
+        """Those that viewers of a title in a plan hear: what must be heard first, then by name. The same
+        object while the programme is the same."""
+        programme = self.programme()
+        if programme is not self._read:
+            self._read, self._for = programme, {}
+        found = self._for.get((title, plan))
+        if found is None:
+            mine = [one for one in programme.notices if one.is_for(title, plan)]
+            found = self._for[title, plan] = tuple(sorted(mine, key=lambda one: (not one.must, one.name)))
+        return found
 
 
 class Reel:
@@ -120,6 +136,8 @@
         self._fresh = False
         self._over = self._ending = False
         self._run, self._since = ("", -1, ""), 0
+        self._mine: tuple[Notice, ...] | None = None  # the notices that were looked at last
+        self._quiet_to = 0  # no point of theirs comes before this time of the title
         if kept is not None:
             self._restore(kept)
 
@@ -255,30 +273,37 @@
     # Which notice comes at the boundary that is drafted next.
 
     def _next_insert(self, by: Stitching) -> Insert | None:
-        wall = by.wall()
-        for notice, point in self._owed(by.programme(), wall):
+        mine, now = by.notices(self._name, self.plan), self._content * self.segment
+        if mine is not self._mine:
+            self._mine, self._quiet_to = mine, 0
+        if now < self._quiet_to:
+            return None
+        wall, waits = by.wall(), False
+        for notice, point in self._owed(mine, now, wall):
             chosen = by.choose(notice, self._rung)
             if chosen is not None:
                 self._done[point] = None
                 return Insert(notice.name, chosen, point)
-            if not notice.must:
+            if notice.must:
+                waits = True  # it stays owed, and is looked for again at the next boundary
+            else:
                 self._done[point] = None
                 self._left_out.append(Heard(notice.name, notice.version, point, self._sequence))
-            # One that must be heard stays owed, and is looked for again at the next boundary.
+        # Danger: a season may begin at any boundary, and what must be heard is then made up for.
+        if not waits and not any(one.begins or one.ends for one in mine):
+            self._quiet_to = min((following(one, now) for one in mine), default=NEVER)
         return None
 
-    def _owed(self, programme: Programme, wall: float) -> Iterator[tuple[Notice, str]]:
-        """Notices whose point has come and that were not heard there: what must be heard first, by name."""
-        now, last = self._content * self.segment, (self._content - 1) * self.segment
-        order = sorted(programme.notices, key=lambda one: (not one.must, one.name))
-        for notice in order:
-            if not notice.is_for(self._name, self.plan) or not notice.in_season(wall):
-                continue
-            for point, at in points(notice, now):
-                # What may be left out is not made up for once its point has passed.
-                timely = notice.must or at > last
-                if at <= now and timely and point not in self._done:
-                    yield notice, point
+    def _owed(self, mine: Sequence[Notice], now: int, wall: float) -> Iterator[tuple[Notice, str]]:
+        """Notices whose point has come and that were not heard there."""
+        last = now - self.segment
+        for notice in mine:
+            if notice.in_season(wall):
+                for point, at in points(notice, now):
+                    # What may be left out is not made up for once its point has passed.
+                    timely = notice.must or at > last
+                    if at <= now and timely and point not in self._done:
+                        yield notice, point
 
     # What is kept.
 
@@ -342,3 +367,12 @@
         latest = now // every
         if latest:
             yield f"{notice.name} every {latest}", latest * every
+
+
+def following(notice: Notice, now: int) -> int:
+    """The first point of a notice after `now`; `NEVER` if there is none."""
+    every = int(notice.every_ms * MS)
+    later = [int(offset * MS) for offset in notice.offsets_ms if int(offset * MS) > now]
+    if every:
+        later.append((now // every + 1) * every)
+    return min(later, default=NEVER)
--- a/burlmast/stitch/shell.py
+++ b/burlmast/stitch/shell.py
@@ -20,6 +20,7 @@
 
 MS = 1_000_000
 SECOND = 1_000_000_000
+BATCH = 250  # reels looked at in one go
 KEEP_REELS = 24 * 3600 * SECOND  # a viewer that has not come back by then starts anew
 
 
@@ -72,6 +73,7 @@
         self._stitching = Stitching(lambda: self.register.in_force, self._choose, time.time)
         self.shown: dict[str, Shown] = {}
         self._busy = False
+        self._round: list[str] = []  # playbacks whose turn is still to come
         self._over: list[str] = []
         self._resuming: dict[str, Kept] = {}
         self.sound = True  # the disk takes what it is given
@@ -143,7 +145,11 @@
         now = self._now()
         changes: list[Change] = []
         counts: list[tuple[Shown, int, list[Heard]]] = []
-        for one in self.shown.values():
+        if not self._round:
+            self._round = list(self.shown)
+        # So many at a time: more would hold up the loop.
+        batch, self._round = self._round[:BATCH], self._round[BATCH:]
+        for one in [self.shown[public] for public in batch if public in self.shown]:
             one.reel.draft(now)
             count = len(one.reel.drafted)
             if count:
@@ -154,6 +160,8 @@
                 self._count(f"left out {left.notice}")
         over, self._over = [public for public in self._over if public not in self.shown], []
         if not changes and not over:
+            if self._round:
+                self.loop.call_soon(self.flush)
             return
         self._busy = True
         self._run(self._keep(changes, counts, over))
@@ -180,6 +188,8 @@
             if heard:
                 self._count("heard", len(heard))
         self._busy = False
+        if self._round:
+            self.flush()
 
     def _write(self, changes: list[Change], over: list[str], at: int) -> None:
         if changes:
--- a/tests/test_stitch_loopback.py
+++ b/tests/test_stitch_loopback.py
@@ -17,6 +17,7 @@
 from burlmast.http1.client import Whole
 from burlmast.settings.sheets import Title
 from burlmast.standin.watch import watch
+from burlmast.world.traffic import TryCame
 
 JSON = ((b"content-type", b"application/json"),)
 ASK = {"title": "unit-01", "plan": "explainer", "viewer": "v"}
@@ -121,6 +122,10 @@
             status, raw = await here.get(f"/v1/playbacks/{player.public}/manifest.mpd")
             assert status == 200 and MPEGDASHParser.parse(raw.decode()).periods
             assert (await here.post(ASK | {"resume": "unknown"}))[0] == 410
+            status, told = await here.post(ASK | {"resume": player.public})
+            assert status == 409 and "plays here" in told["error"]
+            tries = [one for one in here.seen(TryCame) if one.playback == player.public]
+            assert len(tries) == 2, "one in each life of the gateway"
             assert (await here.post(ASK | {"resume": player.public, "title": "unit-02"}))[0] == 409
 
     asyncio.run(run())
