The list on disk: a gateway starts from it while discovery is down

Cause: a gateway that starts while the list is down rejected everything, though hosts were there.

Courses of links are kept in one place for both worlds.

First-minute service is not measured yet.

--- a/burlmast/badday/day.py
+++ b/burlmast/badday/day.py
@@ -134,7 +134,7 @@
         fleet = self.town.fleet
         for change in changes(self.day.capacity, len(fleet.racks), len(fleet.hosts), self.seed):
             await until(began + change.at)
-            fleet.gives(change)
+            fleet.courses.gives(change)
 
     def _strike(self, place: int, trouble: Trouble) -> list[int]:
         # A host that is leaving is not struck by anything else.
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -314,7 +314,7 @@
         """News of the list, and the addresses that came with it."""
         if scope in (api.Scope.COMPLETE, api.Scope.CACHED):
             self._addresses = {}
-            if not self._has_list:
+            if not self._has_list and scope is api.Scope.COMPLETE:
                 # Danger: the list comes late, and a host may have restarted since; a gateway that has just
                 # started has no streams whose breaking would tell it.
                 scope, self._has_list = api.Scope.CACHED, True
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -24,6 +24,9 @@
 from burlmast.edge.operators import Operators
 from burlmast.edge.redial import Redial
 from burlmast.edge.words import split_address
+from burlmast.hostbook.keeper import Keeper
+from burlmast.hostbook.shelf import Shelf
+from burlmast.hostbook.snapshot import rows as rows_of
 from burlmast.http1.client import Address, Pool
 from burlmast.http1.server import Bounds, Server
 from burlmast.logic import Gateway
@@ -66,6 +69,8 @@
         self.doorkeeper = Doorkeeper(edge.doorway)
         self.done: asyncio.Future[int] = self.loop.create_future()
         self.notices: Notices | None = None
+        self._keeper: Keeper | None = None
+        self.from_disk = False  # no list has been heard yet, and hosts are those that were on disk
         self.ready = False
         self.longest_stall = 0.0
         self._armed: asyncio.TimerHandle | None = None
@@ -133,6 +138,8 @@
                 self.now,
             )
             self.door.notices = self.notices
+            self._keeper = Keeper(Shelf(state / f"gateway-{number}"), edge.hostbook.write_ms / 1000, self)
+            self._start_from_disk(self._keeper.shelf, int(edge.hostbook.oldest_s * 1e9))
         self.operators = Operators(self)
         self.viewers = Server(self.door.application, Bounds(), ViewersGate(self.doorkeeper), self._door_fault)
         self.operators_server = Server(self.operators.application, Bounds())
@@ -190,6 +197,26 @@
                 self.log.warning("stood still", seconds=round(late, 3))
         self.loop.call_later(0.1, self._watch_loop, self.loop.time() + 0.1)
 
+    # The list on disk.
+
+    def _start_from_disk(self, shelf: Shelf, oldest: int) -> None:
+        start = shelf.start(time.time_ns(), oldest)
+        self.log.info("hosts on disk", what=start.line)
+        if start.book is not None:
+            self.from_disk = True
+            where = {page.host: page.address for page in start.book.pages}
+            # Every host counts as cold: what is on disk says where to ask, not what is so.
+            self.listed(Scope.CACHED, tuple(rows_of(start.book)), where)
+
+    @property
+    def kept_hosts(self) -> int:
+        """Hosts in the last snapshot that is on disk."""
+        return self._keeper.kept if self._keeper is not None else 0
+
+    def disk_trouble(self, what: str) -> None:
+        """The list could not be kept."""
+        self.log.error("hosts on disk", what=what)
+
     # Notices.
 
     def _reel(self, public: str, wanted: Wanted) -> Reel:
@@ -300,6 +327,10 @@
             if not self.ready:
                 self.log.info("has a list", hosts=len(rows))
             self.ready = True
+        if scope is Scope.COMPLETE:
+            self.from_disk = False
+        if self._keeper is not None and scope in (Scope.COMPLETE, Scope.CHANGES):
+            self._keeper.heard(scope is Scope.COMPLETE, rows, where)
         leaving = [row for row in rows if row.standing is not api.Standing.READY]
         for row in leaving:
             self.log.info("host leaves", host=row.host, standing=row.standing.value)
@@ -350,6 +381,8 @@
         self.operators_server.close()
         if self.notices is not None:
             self.notices.close()
+        if self._keeper is not None:
+            self._keeper.close()
         self.pool.close()
 
 
--- a/burlmast/model/day.py
+++ b/burlmast/model/day.py
@@ -32,7 +32,7 @@
             if trouble.kind in effects:
                 self.fleet.engine.at(start + int(at * SECOND), effects[trouble.kind], self, place, trouble)
         for change in changes(self.day.capacity, len(self.fleet.racks), self.fleet.ground.hosts, self.seed):
-            self.fleet.engine.at(start + int(change.at * SECOND), self.fleet.gives, change)
+            self.fleet.engine.at(start + int(change.at * SECOND), self.fleet.courses.gives, change)
 
     def hosts(self, place: int, trouble: Trouble) -> list[int]:
         """The hosts that it strikes; one that is leaving is not struck by anything else."""
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -15,8 +15,7 @@
 from burlmast.api import Ending, News, Scope, Standing
 from burlmast.model.engine import Engine
 from burlmast.recall.core import Recall
-from burlmast.world.box import Ailment, Box, Course, Rack, host_id, true_rate
-from burlmast.world.capacity import Change
+from burlmast.world.box import Ailment, Box, Courses, Rack, host_id, true_rate
 from burlmast.world.crowd import Guest, Market, Viewers
 from burlmast.world.player import SHORT, Tariff
 from burlmast.world.traffic import (
@@ -197,6 +196,7 @@
         terms = ground.terms(0)
         self.terms = terms
         self.racks = [Rack(terms.lineup.uplink) for _ in range(max(1, terms.lineup.racks))]
+        self.courses = Courses(self.racks)
         self.boxes: dict[int, Box] = {}
         self.streams: dict[int, dict[str, Stream]] = {}
         self.rows: dict[int, api.HostRow] = {}
@@ -207,7 +207,6 @@
         self.list_fails = False
         self._requests = 0
         self.viewers: list[Visitor] = []
-        self.courses: dict[int, Course] = {}  # of hosts' links, over all their lives
         self._short: dict[tuple[int, int], bool] = {}
         self._next_host = 0
         self._news: dict[int, dict[int, api.HostRow]] = {}
@@ -254,7 +253,7 @@
         )
         box.bears = rules.fall_multiple, rules.fall_span
         box.smooth = self.ground.smooth
-        box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
+        box.noise, box.course = self.noise, self.courses.of(number)
         self.boxes[number], self.streams[number] = box, {}
         zone = cell % self.ground.zones
         self.rows[number] = api.HostRow(number, zone, kind, cell, Standing.READY, 1.0, started)
@@ -294,14 +293,6 @@
                 setattr(box.ails, name, value)
             box.ails_since = self.now
 
-    def gives(self, change: Change) -> None:
-        """A link or uplink gives another part of its capacity from now on."""
-        if change.kind == "racks":
-            course = self.racks[change.number].course
-        else:
-            course = self.courses.setdefault(host_id(change.number), Course())
-        course.parts[change.place] = change.part
-
     def stands(self, number: int, standing: Standing) -> None:
         """The list will say so."""
         self.rows[number] = self.rows[number]._replace(standing=standing)
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -93,6 +93,13 @@
     advice_ms: float = 500.0
 
 
+class HostbookTerms(Sheet, frozen=True):
+    """How the list is kept on disk."""
+
+    write_ms: float = 5000.0  # at most so often
+    oldest_s: float = 259_200.0  # an older one is not started from
+
+
 class NoticeTerms(Sheet, frozen=True):
     """How recordings of notices are fetched."""
 
@@ -115,6 +122,7 @@
     redial_longest_ms: float = 4000.0
     list_quiet_ms: float = 5000.0
     notices: NoticeTerms = NoticeTerms()
+    hostbook: HostbookTerms = HostbookTerms()
 
 
 class StandIns(Sheet, frozen=True):
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -11,8 +11,7 @@
 
 from burlmast.http1.server import Bounds, Exchange, Server
 from burlmast.settings.sheets import Deployment
-from burlmast.world.box import Ailment, Box, Course, Rack, host_id, true_rate
-from burlmast.world.capacity import Change
+from burlmast.world.box import Ailment, Box, Courses, Rack, host_id, true_rate
 from burlmast.world.traffic import HostUp, Record, RungSet, TryCame, TryOver
 
 MS = 1_000_000
@@ -262,13 +261,13 @@
         """`record` takes what hosts see, `changed` the rows of the list that have changed; `noise` is the
         part by which reports are off."""
         self.noise = noise
-        self.courses: dict[int, Course] = {}  # of hosts' links, over all their lives
         self.deployment, self.record, self.changed = deployment, record, changed
         fleet, stand_ins, rules = deployment.fleet, deployment.stand_ins, deployment.rules
         self.loop = asyncio.get_running_loop()
         self.set_up_s = stand_ins.set_up_ms / 1000
         self.tells_uplinks = stand_ins.tell_uplinks
         self.racks = [Rack(fleet.uplink_kb) for _ in range(fleet.racks)]
+        self.courses = Courses(self.racks)
         self.hosts: dict[int, MediaHost] = {}
         self.rows: dict[int, dict[str, object]] = {}
         self.fallen: set[int] = set()
@@ -329,7 +328,7 @@
         rules = self.deployment.rules
         box.bears = rules.fall_multiple, int(rules.fall_span_ms * MS)
         box.smooth = int(self.deployment.stand_ins.smooth_ms * MS)
-        box.noise, box.course = self.noise, self.courses.setdefault(number, box.course)
+        box.noise, box.course = self.noise, self.courses.of(number)
         host = MediaHost(self, box, row)
         await host.start(port)
         wall = time.time_ns() if cold else time.time_ns() - 10 * max(self._warm_after, 1)
@@ -366,14 +365,6 @@
         host = await self.add(int(str(row["cell"])), cold=True)
         self.changed([dict(host.row)])
 
-    def gives(self, change: Change) -> None:
-        """A link or uplink gives another part of its capacity from now on."""
-        if change.kind == "racks":
-            course = self.racks[change.number].course
-        else:
-            course = self.courses.setdefault(host_id(change.number), Course())
-        course.parts[change.place] = change.part
-
     def _stands(self, number: int, standing: str) -> None:
         row = self.rows[number]
         row["standing"] = standing
--- a/burlmast/world/box.py
+++ b/burlmast/world/box.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from burlmast import api
+from burlmast.world.capacity import Change
 
 SETTLED = 0.999  # a smoothed share above this is a whole one
 
@@ -55,6 +56,24 @@
         )
 
 
+class Courses:
+    """The courses of a fleet's links and uplinks, over all the lives of its hosts."""
+
+    def __init__(self, racks: list[Rack]) -> None:
+        self._racks = racks
+        self._hosts: dict[int, Course] = {}
+
+    def of(self, number: int) -> Course:
+        """That of a host's link."""
+        return self._hosts.setdefault(number, Course())
+
+    def gives(self, change: Change) -> None:
+        """A link or uplink gives another part of its capacity from now on."""
+        hosts = change.kind == "hosts"
+        course = self.of(host_id(change.number)) if hosts else self._racks[change.number].course
+        course.parts[change.place] = change.part
+
+
 class Box:
     """One host's process."""
 
