--- a/burlmast/stitch/reel.py
+++ b/burlmast/stitch/reel.py
@@ -107,6 +107,37 @@
 class Reel:
     """A live-like window over a playback."""
 
+    __slots__ = (
+        "_ahead",
+        "_breaks",
+        "_content",
+        "_done",
+        "_drafted",
+        "_ending",
+        "_epoch",
+        "_fresh",
+        "_heard",
+        "_host",
+        "_insert",
+        "_left_out",
+        "_media",
+        "_mine",
+        "_name",
+        "_over",
+        "_quiet_to",
+        "_run",
+        "_rung",
+        "_sequence",
+        "_shown",
+        "_since",
+        "_stitching",
+        "_window",
+        "plan",
+        "segment",
+        "title",
+        "zero",
+    )
+
     def __init__(
         self,
         title: str,
