--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -7,6 +7,8 @@
 import signal
 import sys
 import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -167,15 +169,22 @@
 
 
 async def _up(file: str, gateways: int | None, hosts: int | None, logs: str | None, state: str | None) -> int:
-    from burlmast.badday.gateways import NotStarted
     from burlmast.badday.town import Town
 
-    deployment, written = adapted(file, gateways, hosts)
+    deployment = sized(file, gateways, hosts)
     folder = Path(logs) if logs else None
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
     options = ("--state", state) if state else ()
-    town = Town(deployment, written, deployment.gateways, options=options, logs=folder)
+    with file_of(deployment) as written:
+        town = Town(deployment, written, deployment.gateways, options=options, logs=folder)
+        return await _run_town(town)
+
+
+async def _run_town(town: Any) -> int:
+    from burlmast.badday.gateways import NotStarted
+
+    deployment = town.deployment
     try:
         await town.start()
         say(
@@ -196,21 +205,23 @@
         return 1
     finally:
         await town.close()
-        if written != file:
-            Path(written).unlink(missing_ok=True)
 
 
-def adapted(file: str, gateways: int | None, hosts: int | None) -> tuple[Deployment, str]:
-    """The deployment with other numbers, and a file that the gateways can read it from."""
+def sized(file: str, gateways: int | None, hosts: int | None) -> Deployment:
+    """The deployment in a file, with other numbers where they are given."""
     from burlmast.settings.scenes import resized
 
-    deployment = settings(file)
-    if gateways is None and hosts is None:
-        return deployment, file
-    deployment = resized(deployment, gateways, hosts)
-    with tempfile.NamedTemporaryFile("wb", prefix="burlmast-", suffix=".json", delete=False) as out:
+    return resized(settings(file), gateways, hosts)
+
+
+@contextmanager
+def file_of(deployment: Deployment) -> Iterator[str]:
+    """A file of our own that gateways read just this deployment from; it is gone afterwards."""
+    # Danger: what is removed here must never be a file that somebody named.
+    with tempfile.NamedTemporaryFile("wb", prefix="burlmast-", suffix=".json") as out:
         out.write(msgspec.json.encode(deployment))
-    return deployment, out.name
+        out.flush()
+        yield out.name
 
 
 @main.command("list")
@@ -285,17 +296,16 @@
 
 def scene(
     name: str, file: str | None, gateways: int | None = None, hosts: int | None = None, bench: bool = False
-) -> tuple[Day, Deployment, str]:
-    """A day, its deployment, and the file that gateways can read that from. Ends with 2 and one line where
-    it cannot be played."""
+) -> tuple[Day, Deployment]:
+    """A day and its deployment. Ends with 2 and one line where it cannot be played."""
     from burlmast.settings.scenes import fitting, read_day
     from burlmast.world.troubles import DAYS, NotADay
 
     try:
         day = read_bench_day(name) if bench else DAYS.get(name) or read_day(name)
         beside = str(Path(name).parent / day.settings) if day.settings else SAMPLE
-        deployment, written = adapted(file or beside, gateways or day.gateways, hosts or day.hosts)
-        return fitting(day, deployment), deployment, written
+        deployment = sized(file or beside, gateways or day.gateways, hosts or day.hosts)
+        return fitting(day, deployment), deployment
     except NotADay as why:
         click.echo(f"{name}: {why}", err=True)
         raise SystemExit(2) from None
@@ -315,20 +325,26 @@
     return day
 
 
-@main.command("bad-day")
-@click.argument("name", default="standard")
-@click.option(
-    "--bench", is_flag=True, help="NAME is a day file of the bench; its kinds of trouble are played."
-)
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option(
+# What days have in common, in virtual time and on sockets.
+SEED = click.option("--seed", type=int, default=1, show_default=True)
+SETTINGS = click.option(
     "--settings",
     "file",
     type=click.Path(),
     default=None,
     help="In place of the scenario's own or the sample.",
 )
-@click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
+JSON = click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
+
+
+@main.command("bad-day")
+@click.argument("name", default="standard")
+@click.option(
+    "--bench", is_flag=True, help="NAME is a day file of the bench; its kinds of trouble are played."
+)
+@SEED
+@SETTINGS
+@JSON
 @click.option("--plant", type=click.IntRange(1, 6), default=None, help="Break this rule on purpose.")
 @click.option(
     "--logs", type=click.Path(file_okay=False), default=None, help="A folder for the gateways' logs."
@@ -354,19 +370,17 @@
     from burlmast.badday.gateways import NotStarted
     from burlmast.badday.report import as_text
 
-    day, deployment, written = scene(name, file, bench=bench)
+    day, deployment = scene(name, file, bench=bench)
     folder = Path(logs) if logs else None
     if folder:
         folder.mkdir(parents=True, exist_ok=True)
     try:
         stated = evaluate(programme).encode("utf-8") if programme else None
-        outcome = asyncio.run(run_day(deployment, written, day, seed, plant, folder, stated))
+        with file_of(deployment) as written:
+            outcome = asyncio.run(run_day(deployment, written, day, seed, plant, folder, stated))
     except (OSError, NotStarted, Untaken, BadSettings) as why:
         click.echo(f"bad-day: {why}", err=True)
         raise SystemExit(2) from None
-    finally:
-        if written.startswith(tempfile.gettempdir()):
-            Path(written).unlink(missing_ok=True)
     if as_json:
         told = {"verdict": outcome.verdict, "players": outcome.players._asdict()}
         say({"day": day.name, "seed": seed, "took_s": round(outcome.took_s, 1), **told})
@@ -382,21 +396,15 @@
 
 @model.command("run")
 @click.argument("name", default="standard")
-@click.option("--seed", type=int, default=1, show_default=True)
-@click.option(
-    "--settings",
-    "file",
-    type=click.Path(),
-    default=None,
-    help="In place of the scenario's own or the sample.",
-)
+@SEED
+@SETTINGS
 @click.option(
     "--gateways", type=click.IntRange(1, 1000), default=None, help="In place of the settings' number."
 )
 @click.option(
     "--hosts", type=click.IntRange(1, 10000), default=None, help="In place of the settings' number."
 )
-@click.option("--json", "as_json", is_flag=True, help="Print the verdict as one JSON line.")
+@JSON
 def model_run(
     name: str, seed: int, file: str | None, gateways: int | None, hosts: int | None, as_json: bool
 ) -> None:
@@ -410,7 +418,7 @@
     from burlmast.model.ground import ground
     from burlmast.settings.scenes import rulebook
 
-    day, deployment, _ = scene(name, file, gateways, hosts)
+    day, deployment = scene(name, file, gateways, hosts)
     played = play(ground(deployment), day, seed, Gateway, rulebook(deployment))
     verdict, players = played.verdict, played.players._asdict()
     if as_json:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
 import signal
 import subprocess
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -135,3 +137,22 @@
         pool.close()
     found = re.findall(r'burlmast_happened_total\{what="([^"]+)"\} ([0-9.]+)', text.decode())
     return {what: int(float(count)) for what, count in found}
+
+
+def test_a_day_leaves_the_settings_that_it_was_given(tmp_path: Path) -> None:
+    for name in ("training.jsonnet", "base.libsonnet"):
+        (tmp_path / name).write_text((SAMPLES / name).read_text())
+    file = tmp_path / "training.jsonnet"
+    day = tmp_path / "day.jsonnet"
+    day.write_text("{name: 'd', lasts: 1, hosts: 4, viewers: {lasts: {type: 'uniform', least: 1, most: 1}}}")
+    files = sorted(tmp_path.iterdir())
+    for command in (["model", "run"], ["bad-day"]):
+        done = subprocess.run(
+            [sys.executable, "-m", "burlmast", *command, str(day), "--settings", str(file)],
+            capture_output=True,
+            timeout=60,
+            check=False,
+            env=os.environ | {"TMPDIR": str(tmp_path)},  # what is given may stand where what is written does
+        )
+        assert done.returncode == 0 and file.read_text() == (SAMPLES / file.name).read_text()
+        assert sorted(tmp_path.iterdir()) == files, "and nothing else is left behind"
