Notices decide in the larder and the reel alone; fetches are bounded and programmes accepted once

Each recording asked for the rooms of all hosts (200 notices on 4 rungs stop the loop for seconds); a change whose copy could not be written was refused though it was on the disk, and came back with the next start; any other fault of a write left all reels standing; what a request lacks and who may resume were decided in the shell and the door.

Change: rooms of candidates alone, notices.at_once recordings at a time, those that must be heard first; the copy's fault is told, not refused; every fault of a write is told and playbacks go on; Larder.lacking and reel.refusal decide; a reel keeps the latest point a kind, not each. One kill loop for the tests, one Sheet for scenarios, one formula for host ids.

--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -17,6 +17,7 @@
 from burlmast.http1.server import Exchange
 from burlmast.settings.read import nanoseconds
 from burlmast.settings.sheets import Deployment
+from burlmast.stitch.reel import refusal
 from burlmast.stitch.shell import Notices
 from burlmast.stitch.writers import dash, hls
 
@@ -166,17 +167,13 @@
         if not resume:
             return
         kept = self.notices.resume(resume) if self.notices is not None else None
-        if kept is None:
-            raise BadAsk(410, "nothing is kept of that playback; ask without resume")
-        if kept.title != wanted.title_name or kept.plan != self._plan_names[wanted.plan]:
-            raise BadAsk(409, "that playback has another title or plan")
         earlier = driver.find(self._now(), resume)
-        if earlier is None:
-            return
-        if earlier.out:
-            # Danger: its host may see the new setup try before the old stream's end: two for one playback.
-            raise BadAsk(409, "that playback plays here: go on reading its manifest")
-        driver.leave(self._now(), earlier)
+        plays_here = earlier is not None and bool(earlier.out)
+        refused = refusal(kept, wanted.title_name, self._plan_names[wanted.plan], plays_here)
+        if refused is not None:
+            raise BadAsk(*refused)
+        if earlier is not None:
+            driver.leave(self._now(), earlier)
 
     def _read(self, body: bytes) -> tuple[Wanted, str]:
         try:
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -133,6 +133,7 @@
                 edge.ahead,
                 edge.notices.tries,
                 nanoseconds(edge.notices.again_ms),
+                edge.notices.at_once,
                 self.pool,
                 self,
                 self.now,
@@ -226,16 +227,18 @@
         return self.notices.reel(public, wanted.title_name, plan, wanted.viewer_name)
 
     def holders(self) -> list[Holder]:
-        """Hosts as the decisions know them, and their rooms."""
-        policy, now = self.driver.policy, self.now()
+        """Hosts as the decisions know them."""
+        policy = self.driver.policy
         if not isinstance(policy, Gateway):
             return []
-        hosts = [host for host in policy.hosts.values() if host in host.rack.hosts]
         ready = api.Standing.READY
-        return [
-            Holder(host.id, host.row.cell, host.row.standing is ready, policy.room(now, host))
-            for host in hosts
-        ]
+        return [Holder(one.id, one.row.cell, one.row.standing is ready) for one in policy.hosts.values()]
+
+    def room(self, host: int) -> float:
+        """A host's room as the decisions reckon it."""
+        policy = self.driver.policy
+        found = policy.hosts.get(host) if isinstance(policy, Gateway) else None
+        return policy.room(self.now(), found) if found is not None and isinstance(policy, Gateway) else 0.0
 
     def address(self, host: int) -> Address | None:
         """Where the list says that a host is."""
@@ -270,11 +273,8 @@
 
     def over(self, playback: Playback) -> None:
         self.door.over(playback)
-        if (
-            self.notices is not None
-            and playback.state == "refused"
-            and playback.public not in self.driver.shown
-        ):
+        never_shown = playback.state == "refused" and playback.public not in self.driver.shown
+        if self.notices is not None and never_shown:
             self.notices.over(playback.public)
 
     def hidden(self, playback: Playback) -> None:
--- a/burlmast/model/fleet.py
+++ b/burlmast/model/fleet.py
@@ -15,7 +15,7 @@
 from burlmast.api import Ending, News, Scope, Standing
 from burlmast.model.engine import Engine
 from burlmast.recall.core import Recall
-from burlmast.world.box import Ailment, Box, Courses, Rack, host_id, true_rate
+from burlmast.world.box import Ailment, Box, Courses, Rack, host_id, host_place, true_rate
 from burlmast.world.crowd import Guest, Market, Viewers
 from burlmast.world.player import SHORT, Tariff
 from burlmast.world.traffic import (
@@ -238,7 +238,7 @@
             number, self._next_host = host_id(self._next_host), self._next_host + 1
         lineup, rules = self.terms.lineup, self.terms.rules
         kinds = lineup.streams_by_kind
-        kind = (number - 1000) // 37 % len(kinds)
+        kind = host_place(number) % len(kinds)
         link = lineup.link_per_weight * kinds[kind] * len(kinds) / sum(kinds)
         started = self.now if cold else self.now - 10 * max(1, rules.warm_after)
         rack = self.racks[cell % len(self.racks)]
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -111,6 +111,7 @@
         "edge.notices.tries": one.edge.notices.tries,
         "edge.hostbook.write_ms": one.edge.hostbook.write_ms,
         "edge.hostbook.oldest_s": one.edge.hostbook.oldest_s,
+        "edge.notices.at_once": one.edge.notices.at_once,
         "edge.notices.again_ms": one.edge.notices.again_ms,
         "edge.doorway.connections": one.edge.doorway.connections,
         "edge.doorway.connections_each": one.edge.doorway.connections_each,
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -105,6 +105,7 @@
 
     tries: int = 3  # holders asked in a round
     again_ms: float = 2000.0  # until another round, after one that found none
+    at_once: int = 8  # recordings asked for at a time
 
 
 class Edge(Sheet, frozen=True):
--- a/burlmast/stitch/larder.py
+++ b/burlmast/stitch/larder.py
@@ -14,12 +14,11 @@
 
 
 class Holder(NamedTuple):
-    """A host that may hold recordings, as this gateway knows it now; rooms compare."""
+    """A host that may hold recordings, as this gateway knows it now."""
 
     host: int
     cell: int
     ready: bool  # the list says that new work may go there
-    room: float
 
 
 class Recording:
@@ -54,15 +53,18 @@
         cells: int,
         tries: int,
         again: int,
+        at_once: int,
         linger: int,
         holders: Callable[[], Iterable[Holder]],
+        room: Callable[[int], float],
         fetch: Callable[[Fetch], object],
     ) -> None:
-        """`holders` tells all hosts as they are known now; `tries` of them are asked in a round, and another
-        begins `again` nanoseconds after one that found none. What is replaced can be read for `linger`
-        more: playlists still name it."""
+        """`holders` tells all hosts as they are known now, `room` that of one host; `tries` of them are asked
+        in a round, and another begins `again` nanoseconds after one that found none; `at_once` recordings
+        are asked for at a time. What is replaced can be read for `linger` more: playlists still name it."""
         self._cells, self._tries, self._again, self._linger = max(1, cells), tries, again, linger
-        self._holders, self._fetch = holders, fetch
+        self._at_once = at_once
+        self._holders, self._room, self._fetch = holders, room, fetch
         self._old: dict[tuple[str, int], tuple[Recording, int]] = {}  # and until when
         self._all: dict[tuple[str, int], Recording] = {}
         self._sound: dict[tuple[str, int], Recording] = {}  # by notice and rung, the latest that is had whole
@@ -85,20 +87,25 @@
     def look(self, now: int) -> None:
         """Begin what can begin."""
         self._old = {name: old for name, old in self._old.items() if old[1] > now}
-        for one in list(self._all.values()):
-            if one.state in ("wanted", "missing") and one.due <= now:
-                self._step(one, "look", now)
+        free = self._at_once - sum(one.state == "asking" for one in self._all.values())
+        # What must be heard is asked for first, and what was never asked for before what nobody had.
+        due = [one for one in self._all.values() if one.state in ("wanted", "missing") and one.due <= now]
+        due.sort(key=lambda one: (not one.notice.must, one.state != "wanted", one.name))
+        for one in due[: max(0, free)]:
+            self._step(one, "look", now)
 
     def came(self, fetch: Fetch, now: int, pieces: Sequence[bytes]) -> None:
         """The holder gave it whole."""
         if fetch.recording.state in ("asking", "missing"):
             fetch.recording.pieces = tuple(pieces)
             self._step(fetch.recording, "came", now)
+            self.look(now)
 
     def failed(self, fetch: Fetch, now: int) -> None:
         """The holder did not give it, or not whole."""
         if fetch.host == fetch.recording.asking:  # else another is asked already
             self._step(fetch.recording, "failed", now)
+            self.look(now)
 
     def left(self, now: int, hosts: Iterable[int]) -> None:
         """These hosts drain or are gone: nothing more is asked of them, and what is being asked of them is
@@ -124,6 +131,14 @@
                 return sound
         return None
 
+    def lacking(self, notices: Iterable[Notice], wall: float) -> Notice | None:
+        """The first of a request's notices that must be heard and cannot be had: the request is rejected
+        before it plays."""
+        for notice in notices:
+            if notice.must and notice.in_season(wall) and self.best(notice, max(notice.rungs)) is None:
+                return notice
+        return None
+
     def find(self, recording: str, rung: int) -> Recording | None:
         """A recording by its name, for those who read its pieces."""
         found = self._all.get((recording, rung))
@@ -151,7 +166,7 @@
             one.state, one.tried, one.due = "missing", [], now + self._again
             self._count("missing")
             return
-        chosen = max(able, key=lambda holder: (holder.room, -holder.host))
+        chosen = max(able, key=lambda holder: (self._room(holder.host), -holder.host))
         one.tried.append(chosen.host)
         one.asking = chosen.host
         self._count("asked")
--- a/burlmast/stitch/reel.py
+++ b/burlmast/stitch/reel.py
@@ -59,6 +59,15 @@
 Choose = Callable[[Notice, int], Chosen | None]
 
 
+class Insert(msgspec.Struct, array_like=True):
+    """A notice under way: it is played to its end as it was begun, whatever changes."""
+
+    notice: str
+    chosen: Chosen
+    point: str
+    number: int = 0  # of its next piece
+
+
 class Kept(msgspec.Struct, array_like=True):
     """A reel as it is kept on disk: enough to go on at the same sequence after a restart."""
 
@@ -68,19 +77,12 @@
     published: int  # pieces
     media: int  # their media time
     breaks: int
-    done: list[str]
+    done: dict[str, int]  # by point, the latest media time of the title at which it was heard
     zero: float  # the wall clock's second of media time 0
-    insert: list[object]  # what is left of a notice under way, or nothing
+    insert: Insert | None
     shown: list[Piece]
 
 
-class Insert:
-    """A notice under way: it is played to its end as it was begun, whatever changes."""
-
-    def __init__(self, notice: str, chosen: Chosen, point: str, number: int = 0) -> None:
-        self.notice, self.chosen, self.point, self.number = notice, chosen, point, number
-
-
 class Stitching:
     """What reels are stitched by, all of a gateway's alike."""
 
@@ -158,7 +160,7 @@
         self._heard: list[Heard] = []
         self._left_out: list[Heard] = []
         self._content = self._sequence = self._media = self._breaks = 0
-        self._done: dict[str, None] = {}
+        self._done: dict[str, int] = {}
         self._insert: Insert | None = None
         self._epoch: int | None = None  # when media time 0 was, on the clock
         # Dates are counted from here whatever stood still since: those that were listed must not change.
@@ -313,55 +315,50 @@
         for notice, point in self._owed(mine, now, wall):
             chosen = by.choose(notice, self._rung)
             if chosen is not None:
-                self._done[point] = None
-                return Insert(notice.name, chosen, point)
+                self._done[point.kind] = point.at
+                return Insert(notice.name, chosen, point.name)
             if notice.must:
                 waits = True  # it stays owed, and is looked for again at the next boundary
             else:
-                self._done[point] = None
-                self._left_out.append(Heard(notice.name, notice.version, point, self._sequence))
+                self._done[point.kind] = point.at
+                self._left_out.append(Heard(notice.name, notice.version, point.name, self._sequence))
         # Danger: a season may begin at any boundary, and what must be heard is then made up for.
         if not waits and not any(one.begins or one.ends for one in mine):
             self._quiet_to = min((following(one, now) for one in mine), default=NEVER)
         return None
 
-    def _owed(self, mine: Sequence[Notice], now: int, wall: float) -> Iterator[tuple[Notice, str]]:
+    def _owed(self, mine: Sequence[Notice], now: int, wall: float) -> Iterator[tuple[Notice, Point]]:
         """Notices whose point has come and that were not heard there."""
         last = now - self.segment
         for notice in mine:
             if notice.in_season(wall):
-                for point, at in points(notice, now):
+                for point in points(notice, now):
                     # What may be left out is not made up for once its point has passed.
-                    timely = notice.must or at > last
-                    if at <= now and timely and point not in self._done:
+                    timely = notice.must or point.at > last
+                    if point.at <= now and timely and self._done.get(point.kind, -1) < point.at:
                         yield notice, point
 
     # What is kept.
 
     def keep(self) -> Kept:
         """The reel as it is with all that is drafted."""
-        insert: list[object] = []
-        if self._insert is not None:
-            one = self._insert
-            insert = [one.notice, list(one.chosen), one.point, one.number]
+        insert = msgspec.structs.replace(self._insert) if self._insert is not None else None
         pieces = [*self._shown, *self._drafted]
         shown = pieces[-self._window :]
         breaks = self._breaks + sum(1 for piece in pieces[: -self._window] if piece.fresh)
         words = (self._content, self._sequence, self._media, breaks)
-        return Kept(self._name, self.plan, *words, list(self._done), self.zero, insert, shown)
+        return Kept(self._name, self.plan, *words, dict(self._done), self.zero, insert, shown)
 
     def _restore(self, kept: Kept) -> None:
         self._content, self._sequence, self._media = kept.content, kept.published, kept.media
         self._breaks, self.zero = kept.breaks, kept.zero
-        self._done = dict.fromkeys(kept.done)
+        self._done = dict(kept.done)
         self._shown.extend(kept.shown)
-        self._fresh = not kept.insert  # a notice goes on from here, where it was
+        self._insert = kept.insert
+        self._fresh = kept.insert is None  # a notice goes on from here, where it was
         if kept.shown:
             last = kept.shown[-1]
             self._run, self._since = (last.title, last.rung, last.place), last.since
-        if kept.insert:
-            notice, chosen, point, number = kept.insert
-            self._insert = Insert(str(notice), Chosen(*chosen), str(point), int(str(number)))  # type: ignore[misc]
 
     # What is listed.
 
@@ -386,18 +383,43 @@
         return self._over and not self._drafted
 
 
-def points(notice: Notice, now: int) -> Iterator[tuple[str, int]]:
-    """The points of a title at which a notice is heard, by name, with their times in the title; of those
-    that come again the latest."""
+def refusal(kept: Kept | None, title: str, plan: str, plays_here: bool) -> tuple[int, str] | None:
+    """Why a playback cannot go on with what is kept of it: the status and a line, or nothing.
+
+    Of what plays here still the host may see a new setup try before the old stream's end, which would be two
+    for one playback.
+    """
+    if kept is None:
+        return 410, "nothing is kept of that playback; ask without resume"
+    if (kept.title, kept.plan) != (title, plan):
+        return 409, "that playback has another title or plan"
+    if plays_here:
+        return 409, "that playback plays here: go on reading its manifest"
+    return None
+
+
+class Point(NamedTuple):
+    """Where in a title a notice is heard; points that come again are of one kind."""
+
+    kind: str
+    name: str
+    at: int
+
+
+def points(notice: Notice, now: int) -> Iterator[Point]:
+    """The points of a title at which a notice is heard; of those that come again the latest."""
     if notice.before:
-        yield f"{notice.name} before", 0
+        name = f"{notice.name} before"
+        yield Point(name, name, 0)
     for offset in sorted(notice.offsets_ms):
-        yield f"{notice.name} at {offset:g}", int(offset * MS)
+        name = f"{notice.name} at {offset:g}"
+        yield Point(name, name, int(offset * MS))
     every = int(notice.every_ms * MS)
     if every:
         latest = now // every
         if latest:
-            yield f"{notice.name} every {latest}", latest * every
+            kind = f"{notice.name} every"
+            yield Point(kind, f"{kind} {latest}", latest * every)
 
 
 def following(notice: Notice, now: int) -> int:
--- a/burlmast/stitch/shell.py
+++ b/burlmast/stitch/shell.py
@@ -30,6 +30,9 @@
     def holders(self) -> Iterable[Holder]:
         """Hosts as the decisions know them."""
 
+    def room(self, host: int) -> float:
+        """A host's room as the decisions reckon it; rooms compare."""
+
     def address(self, host: int) -> Address | None:
         """Where a host is."""
 
@@ -56,6 +59,7 @@
         ahead: int,
         tries: int,
         again: int,
+        at_once: int,
         pool: Pool,
         around: Around,
         now: Callable[[], int],
@@ -68,7 +72,10 @@
         for what in self.store.damaged:
             around.store_trouble(f"laid aside, damaged: {what}")
         self._thread = ThreadPoolExecutor(1, "stitch")
-        self.larder = Larder(known.cells, tries, again, 2 * window * segment, around.holders, self._fetch)
+        limits = (tries, again, at_once, 2 * window * segment)
+        self.larder = Larder(known.cells, *limits, around.holders, around.room, self._fetch)
+        # With a disk that takes nothing, what is heard cannot be kept: as if nothing were there to be heard.
+        self._bare = Larder(known.cells, 0, again, 0, 0, list, lambda host: 0.0, lambda fetch: None)
         self.register = Register(known, self._store_programme, self._acts)
         self._stitching = Stitching(lambda: self.register.in_force, self._choose, time.time)
         self.shown: dict[str, Shown] = {}
@@ -111,19 +118,13 @@
             self._over.append(public)
 
     def lacking(self, title: str, plan: str) -> str:
-        """The notice that must be heard and cannot be had, or nothing: such a request is rejected before it
-        plays."""
-        wall = time.time()
-        for notice in self.register.in_force.notices:
-            owed = notice.must and notice.is_for(title, plan) and notice.in_season(wall)
-            if owed and (not self.sound or self.larder.best(notice, max(notice.rungs)) is None):
-                return notice.name
-        return ""
+        """The notice that must be heard and cannot be had, or nothing; see `Larder.lacking`."""
+        larder = self.larder if self.sound else self._bare
+        found = larder.lacking(self._stitching.notices(title, plan), time.time())
+        return found.name if found is not None else ""
 
     def _choose(self, notice: Notice, rung: int) -> Chosen | None:
-        if not self.sound:
-            return None  # what is heard cannot be kept; notices stay owed
-        found = self.larder.best(notice, rung)
+        found = (self.larder if self.sound else self._bare).best(notice, rung)
         if found is None:
             return None
         one = found.notice
@@ -175,10 +176,10 @@
             if not self.sound:
                 self._around.store_trouble("the disk takes what it is given again")
             self.sound = True
-        except StoreFault as why:
+        except Exception as why:  # whatever it is, playbacks must not stand still for it
             # What plays goes on: content is listed unkept. A notice that was drafted is heard, its line is
             # owed to the record and written with the next that can be.
-            self._trouble(str(why))
+            self._trouble(f"{type(why).__name__}: {why}")
             for one, _, heard in counts:
                 one.reel.owe_heard(heard)
             self._over += over
@@ -213,10 +214,12 @@
 
     async def _keep_programme(self, one: Programme) -> None:
         try:
-            await self.loop.run_in_executor(self._thread, self.store.save_programme, one)
-        except StoreFault as why:
+            amiss = await self.loop.run_in_executor(self._thread, self.store.save_programme, one)
+        except Exception as why:  # a register that hears nothing would refuse every later change
             self.register.failed(str(why))
         else:
+            if amiss:
+                self._around.store_trouble(amiss)
             self.register.stored()
 
     def _acts(self, one: Programme) -> None:
--- a/burlmast/stitch/store.py
+++ b/burlmast/stitch/store.py
@@ -118,12 +118,18 @@
         rows = self._main.execute("SELECT stated FROM programme ORDER BY version").fetchall()
         return [msgspec.json.decode(row[0], type=Programme) for row in rows]
 
-    def save_programme(self, one: Programme) -> None:
-        """Keep a programme; on return it is on the disk."""
-        stated = msgspec.json.encode(one)
-        for base in (self._main, self._copy):
-            with Transaction(base):
-                base.execute("INSERT OR REPLACE INTO programme VALUES (?, ?)", (one.version, stated))
+    def save_programme(self, one: Programme) -> str:
+        """Keep a programme; on return it is on the disk. What is wrong with the copy is told, or nothing: a
+        change that is on the disk cannot be refused any more, or it would come back with the next start."""
+        row = one.version, msgspec.json.encode(one)
+        with Transaction(self._main) as base:
+            base.execute("INSERT OR REPLACE INTO programme VALUES (?, ?)", row)
+        try:
+            with Transaction(self._copy) as base:
+                base.execute("INSERT OR REPLACE INTO programme VALUES (?, ?)", row)
+        except StoreFault as why:
+            return f"the programme's copy: {why}"
+        return ""
 
     def save(self, changes: Iterable[Change], at: int) -> None:
         """Keep reels and what was heard, all or nothing; on return it is on the disk."""
--- a/burlmast/world/box.py
+++ b/burlmast/world/box.py
@@ -207,6 +207,11 @@
     return 1000 + 37 * place
 
 
+def host_place(number: int) -> int:
+    """The place of a machine with this id among those that were started."""
+    return (number - 1000) // 37
+
+
 def true_rate(title: str, rate: float, vary: float = 0.15) -> float:
     """What a title's rung really takes: above or below the ladder, the same for all."""
     return rate * (1 + vary * (2 * zlib.crc32(title.encode()) / 2**32 - 1))
--- a/burlmast/world/capacity.py
+++ b/burlmast/world/capacity.py
@@ -10,15 +10,11 @@
 from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
-import msgspec
+from burlmast.world.sheet import Sheet
 
 SLOPE_S = 0.5  # a slope is told in steps of so long
 
 
-class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A part of a scenario; a key that is not known is an error."""
-
-
 class Constant(Sheet, frozen=True, tag="constant"):
     """The same part all day."""
 
--- a/burlmast/world/crowd.py
+++ b/burlmast/world/crowd.py
@@ -11,14 +11,11 @@
 import msgspec
 
 from burlmast.world.player import Habits
+from burlmast.world.sheet import Sheet
 
 SECOND = 1_000_000_000
 
 
-class Sheet(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A part of a scenario; a key that is not known is an error."""
-
-
 class Uniform(Sheet, frozen=True, tag="uniform"):
     """Between two figures."""
 
@@ -71,7 +68,7 @@
 class Viewers(Sheet, frozen=True):
     """What viewers are like; times in seconds of media or of waiting."""
 
-    plans: dict[str, float] = {}  # how often each comes, by its weight; all alike if empty
+    plans: dict[str, float] = msgspec.field(default_factory=dict)  # weights; all alike if empty
     skew: float = 0.7  # how much more the first titles are wanted
     small_screens: float = 0.3  # part that cannot use the plan's top rung
     lasts: Spread | None = None  # what they want to see; without it the settings' range
--- a/tests/test_hostbook.py
+++ b/tests/test_hostbook.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import random
-import signal
-import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from kills import kills
 from town import sample, town, until
 
 from burlmast.hostbook.shelf import Shelf
@@ -105,29 +103,19 @@
 
 
 def test_no_kill_leaves_a_gateway_without_a_sound_book(tmp_path: Path) -> None:
-    dice, shelf, told = random.Random(3), Shelf(tmp_path), 0
-    for _ in range(200):
-        read, out = os.pipe()
-        child = os.fork()
-        if child == 0:
-            at = told
-            while True:
-                at += 1
-                shelf.write(Book(at, [page(n) for n in range(40)]))
-                os.write(out, b"%d\n" % at)
-        os.close(out)
-        first = os.read(read, 64)  # it writes by now
-        time.sleep(dice.random() * 0.006)  # the moment of the kill, not a wait for anything
-        os.kill(child, signal.SIGKILL)
-        os.waitpid(child, 0)
-        rest = first
-        while part := os.read(read, 65536):
-            rest += part
-        os.close(read)
-        told = max(told, *(int(line) for line in rest.split()))
+    shelf = Shelf(tmp_path)
+
+    def write(tell: Callable[[int], None]) -> None:
+        found = shelf.start(1 << 60, 1 << 61).book
+        at = found.at if found else 0
+        while True:
+            at += 1
+            shelf.write(Book(at, [page(n) for n in range(40)]))
+            tell(at)
+
+    for told in kills(write, 200, 0.006, 3):
         found = shelf.start(told + DAY, 2 * DAY).book
         assert found and found.at >= told and len(found.pages) == 40
-        told = found.at
 
 
 def test_a_gateway_starts_from_disk_while_the_list_is_down_and_recovers_fully(tmp_path: Path) -> None:
--- a/tests/test_stitch.py
+++ b/tests/test_stitch.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import os
-import random
-import signal
 import sqlite3
-import time
+from collections.abc import Callable
 from itertools import pairwise
 from pathlib import Path
 
@@ -16,6 +13,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from kills import kills
 from mpegdash.parser import MPEGDASHParser
 
 from burlmast.stitch.larder import Fetch, Holder, Larder
@@ -108,9 +106,11 @@
 
 
 class Pantry:
-    def __init__(self, *holders: Holder, tries: int = 2) -> None:
+    def __init__(self, *holders: Holder, tries: int = 2, at_once: int = 8) -> None:
         self.holders, self.asked = list(holders), list[Fetch]()
-        self.larder = Larder(8, tries, 5 * S, 10 * S, lambda: self.holders, self.asked.append)
+        rooms = {1: 5.0, 2: 9.0, 3: 99.0, 4: 99.0}
+        limits = (tries, 5 * S, at_once, 10 * S)
+        self.larder = Larder(8, *limits, lambda: self.holders, rooms.__getitem__, self.asked.append)
 
     def stock(self, *notices: Notice, now: int = 0) -> None:
         self.larder.stock(Programme(1, notices), now)
@@ -119,12 +119,7 @@
         return [one.host for one in self.asked]
 
 
-THREE = (
-    Holder(1, 0, True, 5.0),
-    Holder(2, 1, True, 9.0),
-    Holder(3, 2, True, 99.0),
-    Holder(4, 0, False, 99.0),
-)
+THREE = (Holder(1, 0, True), Holder(2, 1, True), Holder(3, 2, True), Holder(4, 0, False))
 
 
 def test_holders_are_asked_by_their_room_and_only_those_that_hold_it_and_are_ready() -> None:
@@ -147,6 +142,19 @@
     assert found and found.rung == 1 and found.pieces == (b"x",)
 
 
+def test_so_many_are_asked_for_at_a_time_and_what_must_be_heard_first() -> None:
+    pantry = Pantry(*THREE, at_once=2)
+    may, must = notice("a", rungs=(0, 1)), notice("z", rungs=(0, 1), must=True)
+    pantry.stock(may, must)
+    assert [one.recording.name for one in pantry.asked] == [("z@1", 0), ("z@1", 1)]
+    pantry.larder.came(pantry.asked[0], 0, [b"x"])
+    assert [one.recording.name for one in pantry.asked][2:] == [("a@1", 0)]
+    assert pantry.larder.lacking([may, must], 0.0) is None, "one rung of it is there"
+    lacking = pantry.larder.lacking([may, notice("other", must=True)], 0.0)
+    assert lacking and lacking.name == "other"
+    assert pantry.larder.lacking([notice("other", must=True, begins=5.0)], 1.0) is None
+
+
 def test_a_host_that_drains_while_it_is_asked_is_asked_no_more() -> None:
     pantry = Pantry(*THREE)
     pantry.stock(notice(rungs=(1,)))
@@ -423,7 +431,7 @@
 
 
 def change(public: str, sequence: int, *heard: Heard) -> Change:
-    kept = Kept("talk", "basic", sequence, sequence, sequence * 2 * S, 0, [], 1.0, [], [])
+    kept = Kept("talk", "basic", sequence, sequence, sequence * 2 * S, 0, {}, 1.0, None, [])
     return Change(public, "viewer", "talk", kept, heard)
 
 
@@ -463,6 +471,18 @@
     store.close()
 
 
+def test_a_change_that_is_on_the_disk_is_in_force_though_its_copy_is_not(tmp_path: Path) -> None:
+    store = Store(tmp_path)
+    pages = store._copy.execute("PRAGMA page_count").fetchone()[0]
+    store._copy.execute(f"PRAGMA max_page_count = {pages}")
+    many = Programme(1, tuple(notice(f"n{n}") for n in range(200)))
+    assert "full" in store.save_programme(many), "told, not refused: it would come back with the next start"
+    store.close()
+    again = Store(tmp_path)
+    assert again.programme() == many
+    again.close()
+
+
 @pytest.mark.parametrize("hurt", ["stitch.sqlite", "programme.sqlite"])
 def test_with_one_file_damaged_the_last_programme_is_still_known(tmp_path: Path, hurt: str) -> None:
     store = Store(tmp_path)
@@ -483,7 +503,7 @@
         Store(tmp_path)
 
 
-def writes(folder: Path, out: int, seed: int) -> None:
+def writes(folder: Path, tell: Callable[[int], None]) -> None:
     """Change programme and reel without end, and tell each number once it is kept."""
     store = Store(folder)
     at = store.programme().version
@@ -492,32 +512,13 @@
     while True:
         at, sequence = at + 1, sequence + 1
         store.save_programme(Programme(at, (notice("a", at), notice("b", at))))
-        os.write(out, b"%d\n" % at)
-        store.save(
-            [change("p", sequence, Heard("a", at, f"{sequence}", sequence)), change("q", sequence)], at
-        )
+        tell(at)
+        heard = Heard("a", at, f"{sequence}", sequence)
+        store.save([change("p", sequence, heard), change("q", sequence)], at)
 
 
 def test_no_kill_loses_what_was_told_or_leaves_a_mixture(tmp_path: Path) -> None:
-    dice, told = random.Random(5), 0
-    for turn in range(200):
-        read, out = os.pipe()
-        child = os.fork()
-        if child == 0:
-            try:
-                writes(tmp_path, out, turn)
-            finally:
-                os._exit(1)
-        os.close(out)
-        first = os.read(read, 64)  # it writes by now
-        time.sleep(dice.random() * 0.012)  # the moment of the kill, not a wait for anything
-        os.kill(child, signal.SIGKILL)
-        os.waitpid(child, 0)
-        rest = first
-        while part := os.read(read, 65536):
-            rest += part
-        os.close(read)
-        told = max(told, *(int(line) for line in rest.split()))
+    for told in kills(lambda tell: writes(tmp_path, tell), 200, 0.012, 5):
         store = Store(tmp_path)
         found = store.programme()
         assert not store.damaged and found.version >= told
