--- a/burlmast/stitch/reel.py
+++ b/burlmast/stitch/reel.py
@@ -226,6 +226,14 @@
         if self._stitching is None:
             self.publish(len(self._drafted))
 
+    def waits(self, now: int) -> bool:
+        """Whether there is anything to keep, to tell or to draft."""
+        if self._drafted or self._left_out:
+            return True
+        if self._epoch is None or self._over:
+            return False
+        return self._media + (1 - self._ahead) * self.segment <= now - self._epoch
+
     def publish(self, count: int) -> None:
         """The first so many drafted pieces are kept: they are listed from now on."""
         for _ in range(count):
--- a/burlmast/stitch/shell.py
+++ b/burlmast/stitch/shell.py
@@ -147,7 +147,7 @@
         changes: list[Change] = []
         counts: list[tuple[Shown, int, list[Heard]]] = []
         if not self._round:
-            self._round = list(self.shown)
+            self._round = [public for public, one in self.shown.items() if one.reel.waits(now)]
         # So many at a time: more would hold up the loop.
         batch, self._round = self._round[:BATCH], self._round[BATCH:]
         for one in [self.shown[public] for public in batch if public in self.shown]:
--- a/tests/test_stitch.py
+++ b/tests/test_stitch.py
@@ -208,8 +208,10 @@
         return Chosen(one.recording, one.version, own, int(one.lasts_ms * 1e6))
 
     def look(self, now: int) -> list[Piece]:
+        waits = self.reel.waits(now)
         self.reel.draft(now)
         drafted = list(self.reel.drafted)
+        assert waits == bool(drafted or self.reel._left_out), "it says when it wants to be looked at"
         self.heard += self.reel.take_heard()
         self.left_out += self.reel.take_left_out()
         self.kept = self.reel.keep()
