--- a/burlmast/stitch/reel.py
+++ b/burlmast/stitch/reel.py
@@ -21,8 +21,8 @@
 NEVER = 1 << 62
 
 
-class Piece(msgspec.Struct, frozen=True, array_like=True):
-    """One segment as it is listed."""
+class Piece(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One segment as it is listed; it names nothing that could name it, and the collector passes it by."""
 
     sequence: int
     at: int  # media time at which it begins
@@ -156,7 +156,7 @@
         self._name = title
         self._window, self._ahead, self._stitching = window, ahead, stitching
         self._shown: deque[Piece] = deque(maxlen=window)
-        self._drafted: deque[Piece] = deque()
+        self._drafted: list[Piece] = []
         self._heard: list[Heard] = []
         self._left_out: list[Heard] = []
         self._content = self._sequence = self._media = self._breaks = 0
@@ -236,10 +236,11 @@
 
     def publish(self, count: int) -> None:
         """The first so many drafted pieces are kept: they are listed from now on."""
-        for _ in range(count):
+        for piece in self._drafted[:count]:
             if len(self._shown) == self._window and self._shown[0].fresh:
                 self._breaks += 1
-            self._shown.append(self._drafted.popleft())
+            self._shown.append(piece)
+        del self._drafted[:count]
 
     @property
     def drafted(self) -> Sequence[Piece]:
