The gateway on the operators' platform: JSON lines, binary messages and DNS round one driver

Needed: the operators start a real gateway that speaks their protocol. burlmast/node/ is one more way in and out: codecs without I/O, door, hosts' side, list by DNS, configuration, signals, round the driver, clock, endings and logic.Gateway that stood. What differs between fronts is handed to the driver: what a viewer is shown, what a move means, whether an unheard-of viewer is gone. Playbacks handed over get their way in.

Checked: the log names the check of `left`; at a start it carries none that counts. It is not read there any more.

--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Callable
 from math import ceil, isfinite
+from typing import cast
 from urllib.parse import unquote
 
 import msgspec
@@ -17,7 +18,7 @@
 from burlmast.http1.server import Exchange
 from burlmast.settings.read import nanoseconds
 from burlmast.settings.sheets import Deployment
-from burlmast.stitch.reel import refusal
+from burlmast.stitch.reel import Reel, refusal
 from burlmast.stitch.shell import Notices
 from burlmast.stitch.writers import dash, hls
 
@@ -229,7 +230,7 @@
         if playback is None:
             exchange.refuse(404, "there is no such playback")
             return
-        reel, now = playback.timeline, self._now()
+        reel, now = cast(Reel, playback.timeline), self._now()
         began = reel.zero or time.time() - (now - reel.epoch) / SECOND
         text = hls(reel, now, began) if form == b"index.m3u8" else dash(reel, now, began, self._rates)
         exchange.respond(200, ((b"content-type", MANIFESTS[form]), (b"cache-control", b"no-cache")), text)
@@ -271,7 +272,11 @@
         if final.kind == "plays":
             self._addresses[playback.public] = visit.address
             manifest = f"/v1/playbacks/{playback.public}/index.m3u8"
-            told = {"playback": playback.public, "manifest": manifest, "rung": playback.timeline.rung}
+            told = {
+                "playback": playback.public,
+                "manifest": manifest,
+                "rung": cast(Reel, playback.timeline).rung,
+            }
             exchange.json(201, told, ((b"location", manifest.encode("ascii")),))
             return
         self._doorkeeper.gone(visit.address)
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -16,7 +16,6 @@
 from burlmast import api
 from burlmast.api import Ending
 from burlmast.logic import NEVER_RAN
-from burlmast.stitch.reel import Reel
 
 
 class Policy(Protocol):
@@ -46,6 +45,19 @@
     viewer_name: str = ""
 
 
+class Shown(Protocol):
+    """What a playback's viewer is shown of it, by the front that the playback came through."""
+
+    def begin(self, now: int, host: str, rung: int) -> None:
+        """It plays at a host's address."""
+
+    def step(self, now: int, rung: int) -> None:
+        """Its rung changes."""
+
+    def end(self, now: int) -> None:
+        """Nothing more comes of it."""
+
+
 class Final(NamedTuple):
     """The one answer to a request; `wait` is advice in nanoseconds, 0 for none."""
 
@@ -56,10 +68,11 @@
 class Try:
     """A setup try and, once it flows, the stream that came of it."""
 
-    __slots__ = ("ending", "handle", "host", "place", "playback", "rung", "sent_at", "state")
+    __slots__ = ("due", "ending", "handle", "host", "place", "playback", "rung", "sent_at", "state")
 
     def __init__(self, playback: Playback, place: int, host: int, sent_at: int) -> None:
         self.playback, self.place, self.host, self.sent_at = playback, place, host, sent_at
+        self.due = sent_at  # until when it is waited for
         self.state = "out"  # out, flowing, ended
         self.rung = playback.rung
         self.ending: Ending | None = None
@@ -83,7 +96,7 @@
     )
 
     def __init__(
-        self, number: int, public: str, wanted: Wanted, now: int, timeline: Reel, reply: Any
+        self, number: int, public: str, wanted: Wanted, now: int, timeline: Shown, reply: Any
     ) -> None:
         self.number, self.public, self.wanted, self.reply = number, public, wanted, reply
         self.state = "asked"
@@ -123,6 +136,9 @@
     def over(self, playback: Playback) -> None:
         """Nothing is held for this playback any more."""
 
+    def moved(self, now: int, playback: Playback) -> None:
+        """It has ended to be set up elsewhere: `Driver.come_back`, or its viewer is told to ask again."""
+
     def hidden(self, playback: Playback) -> None:
         """Nothing of it is shown any more."""
 
@@ -151,12 +167,13 @@
         outside: Outside,
         names: Callable[[], str],
         tries: int,
-        unheard: int,
-        timeline: Callable[[str, Wanted], Reel],
+        unheard: int | None,
+        timeline: Callable[[str, Wanted], Shown],
         now: int,
     ) -> None:
         """`policy` makes the decisions at `now`; `names` draws public ids; `unheard` nanoseconds make a
-        viewer gone; `timeline` makes what a playback's viewer is shown, by its public id."""
+        viewer gone (None: viewers say so, and what is over is shown no more); `timeline` makes what a
+        playback's viewer is shown, by its public id."""
         self._outside, self._names, self._most_tries, self._unheard = outside, names, tries, unheard
         self._timeline = timeline
         self._alarms: list[tuple[int, int, Alarm, Any]] = []
@@ -212,7 +229,7 @@
     def _unheard_of(self, now: int, playback: Playback) -> None:
         if self.shown.get(playback.public) is not playback:
             return
-        due = playback.heard + self._unheard
+        due = playback.heard + (self._unheard or 0)
         if due > now:
             self._set(due, Alarm.UNHEARD, playback)
             return
@@ -228,15 +245,25 @@
         return self._arrive(now, wanted, reply, public, self._timeline(public, wanted), moved=False)
 
     def _arrive(
-        self, now: int, wanted: Wanted, reply: object, public: str, timeline: Reel, moved: bool
+        self, now: int, wanted: Wanted, reply: object, public: str, timeline: Shown, moved: bool
     ) -> Playback:
-        self._numbers += 1
-        playback = Playback(self._numbers, public, wanted, now, timeline, reply)
-        self.held[playback.number] = playback
+        playback = self._hold(now, wanted, reply, public, timeline)
         self.asked += 1
         self.counts["asked"] += 1
         self._set(playback.abandon, Alarm.OVERDUE, playback)
-        request = api.Request(
+        self._hand(now, api.Arrived(self._request(playback, moved)))
+        return playback
+
+    def _hold(self, now: int, wanted: Wanted, reply: object, public: str, timeline: Shown) -> Playback:
+        self._numbers += 1
+        playback = Playback(self._numbers, public, wanted, now, timeline, reply)
+        self.held[playback.number] = playback
+        return playback
+
+    @staticmethod
+    def _request(playback: Playback, moved: bool) -> api.Request:
+        wanted = playback.wanted
+        return api.Request(
             playback.number,
             wanted.plan,
             float(wanted.top),
@@ -249,8 +276,19 @@
             wanted.returned or moved,
             wanted.lasts,
         )
-        self._hand(now, api.Arrived(request))
-        return playback
+
+    def hand_over(self, now: int, wanted: Wanted, public: str, host: int) -> Try:
+        """What plays at a host already, set up by an earlier life of this gateway; no answer is owed."""
+        playback = self._hold(now, wanted, None, public, self._timeline(public, wanted))
+        playback.state = "playing"
+        self.playing += 1
+        self.counts["handed over"] += 1
+        one = Try(playback, 0, host, now)
+        one.state = "flowing"
+        playback.tries.append(one)
+        self.shown[public] = playback
+        self._hand(now, api.HandedOver(self._request(playback, moved=False), host))
+        return one
 
     def leave(self, now: int, playback: Playback) -> None:
         """The viewer has closed its request, or ended what plays."""
@@ -378,7 +416,8 @@
         playback.timeline.begin(now, self._addresses.get(one.host, ""), playback.rung)
         known = playback.public in self.shown
         self.shown[playback.public] = playback
-        self._set(now + self._unheard, Alarm.UNHEARD, playback)
+        if self._unheard is not None:
+            self._set(now + self._unheard, Alarm.UNHEARD, playback)
         if not known:
             self._answer(now, playback, Final("plays"))
         self._hand(now, api.Flowing(playback.number, one.place, one.host, max(0, now - one.sent_at)))
@@ -413,12 +452,17 @@
 
     def _moves(self, now: int, playback: Playback, _: object) -> None:
         self._close(now, playback)
+        self._outside.moved(now, playback)
+
+    def come_back(self, now: int, playback: Playback) -> None:
+        """What has been moved is set up again for the viewer that it still has."""
         wanted = playback.wanted
         back = self._arrive(now, wanted, None, playback.public, playback.timeline, moved=True)
         back.heard = playback.heard
         if self.shown.get(playback.public) is playback:
             self.shown[playback.public] = back
-            self._set(back.heard + self._unheard, Alarm.UNHEARD, back)
+            if self._unheard is not None:
+                self._set(back.heard + self._unheard, Alarm.UNHEARD, back)
 
     def _unwanted(self, now: int, playback: Playback, one: Try) -> None:
         self._outside.close_try(one)
@@ -432,8 +476,10 @@
     def _tidy(self, playback: Playback) -> None:
         over = playback.state in ("refused", "gone", "over") and not playback.out
         if over and self.held.pop(playback.number, None) is not None:
-            playback.tries.clear()  # or the two would hold each other until the collector comes
             self._outside.over(playback)
+            playback.tries.clear()  # or the two would hold each other until the collector comes
+            if self._unheard is None:
+                self._hide(playback)
 
     def _hide(self, playback: Playback) -> None:
         if self.shown.get(playback.public) is playback:
@@ -455,6 +501,7 @@
             self.ended(now, one, Ending.MOOT, api.Load())
             return
         due = min(now + action.allow, playback.abandon) if action.allow > 0 else playback.abandon
+        one.due = due
         self._set(due, Alarm.TRY_DUE, one)
         self._outside.open_try(one)
 
--- a/burlmast/edge/endings.py
+++ b/burlmast/edge/endings.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import msgspec
-from http_sfv.dictionary import Dictionary
 
-from burlmast import api
 from burlmast.api import Ending
 
 # What was seen, and whether the other side has said by then that the set-up never ran.
@@ -26,9 +24,26 @@
     ("called off", False): Ending.CALLED_OFF,
     ("over", False): Ending.SERVED,
 }
+# The same for a binary message to a host: what came of an open set-up, by type of message and cause.
+BINARY_ENDINGS: dict[tuple[str, int | None], Ending] = {
+    ("not sent", None): Ending.MOOT,  # not one byte of it was written
+    ("no connection", None): Ending.NO_CONNECTION,
+    ("release", 34): Ending.FULL,
+    ("release", 47): Ending.ERROR,
+    ("release", 102): Ending.MOOT,
+    ("release", 41): Ending.BROKEN,
+    ("release", None): Ending.BROKEN,  # any other cause before the answer
+    ("connection lost", None): Ending.BROKEN,
+    ("not understood", None): Ending.BROKEN,
+}
+# What came of a playback that played.
+BINARY_ENDS: dict[int | None, Ending] = {
+    16: Ending.SERVED,
+    31: Ending.CALLED_OFF,
+    41: Ending.BROKEN,
+    None: Ending.BROKEN,
+}
 REFUSALS = frozenset((429, 503))
-LOAD_HEADER = b"cmsd-dynamic"
-LOAD_KEYS = ("burlmast-streams", "burlmast-link", "burlmast-uplink")
 
 
 class Refusal(msgspec.Struct):
@@ -48,33 +63,3 @@
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
         ran = True
     return ENDINGS["refused", not ran]
-
-
-def read_load(headers: list[tuple[bytes, bytes]]) -> api.Load:
-    """The load that a host's answer carries; what is missing or malformed is left out."""
-    raw = b", ".join(value for name, value in headers if name == LOAD_HEADER)
-    if not raw:
-        return api.Load()
-    found = Dictionary()
-    try:
-        found.parse(raw)
-    except ValueError:
-        return api.Load()
-    figures = []
-    for key in LOAD_KEYS:
-        value = getattr(found[key], "value", None) if key in found else None
-        usable = not isinstance(value, bool | str | bytes) and value is not None
-        try:
-            figures.append(float(value) if usable else None)  # type: ignore[arg-type]
-        except (TypeError, ValueError):
-            figures.append(None)
-    return api.Load(*figures)
-
-
-def write_load(load: api.Load) -> bytes:
-    """The header's value for a load."""
-    parts = []
-    for key, value in zip(LOAD_KEYS, load, strict=True):
-        if value is not None:
-            parts.append(f"{key}={value:.3f}" if value % 1 else f"{key}={int(value)}")
-    return ", ".join(parts).encode("ascii")
--- a/burlmast/edge/hosts.py
+++ b/burlmast/edge/hosts.py
@@ -12,7 +12,8 @@
 from burlmast import api
 from burlmast.api import Ending, News
 from burlmast.edge.driver import Try
-from burlmast.edge.endings import ENDINGS, of_answer, read_load
+from burlmast.edge.endings import ENDINGS, of_answer
+from burlmast.edge.loads import read_load
 from burlmast.edge.words import STREAM_LINE, SetUpWords, StreamLine, split_address
 from burlmast.http1.client import Address, Call, Failure, Pool
 from burlmast.http1.messages import Lines, Malformed
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -277,6 +277,9 @@
         if self.notices is not None and never_shown:
             self.notices.over(playback.public)
 
+    def moved(self, now: int, playback: Playback) -> None:
+        self.driver.come_back(now, playback)
+
     def hidden(self, playback: Playback) -> None:
         if self.notices is not None:
             self.notices.over(playback.public)
--- /dev/null
+++ b/burlmast/node/door.py
@@ -0,0 +1,342 @@
+"""The viewers' side: connections, one check of form, and exactly one whole answer to each request taken."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, deque
+from collections.abc import Callable
+from math import isfinite
+from typing import Any
+
+from burlmast.api import Ending
+from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
+from burlmast.node import lines
+from burlmast.node.configuration import Configuration
+from burlmast.node.hosts import Sent
+from burlmast.node.lines import Line, LineReader
+
+MS = 1_000_000
+# Who sends nothing sound is owed a close within 3 s of connecting, by the platform's word.
+UNSOUND_FOR = 1_500 * MS
+SWEEP = 250 * MS
+WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
+BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
+HEX = frozenset("0123456789abcdef")
+FREE = frozenset(("progress", "released", "note", "rate", "move", "pong"))  # they want no answer
+CAUSES = {"rejected": lines.REFUSED, "aborted": lines.FAILED, "cut": lines.FAILED}
+ENDS = {Ending.SERVED: lines.ENDED}
+
+
+class WrongForm(Exception):
+    """A set-up that nothing can be done with."""
+
+
+class Viewing:
+    """What the viewer of a playback is shown here: nothing but its answer, and its end."""
+
+    __slots__ = ("sent",)
+
+    def __init__(self) -> None:
+        self.sent = Sent(0, b"", b"", b"")
+
+    def begin(self, now: int, host: str, rung: int) -> None:
+        """See `driver.Shown`."""
+
+    def step(self, now: int, rung: int) -> None:
+        """See `driver.Shown`."""
+
+    def end(self, now: int) -> None:
+        """See `driver.Shown`."""
+
+
+class Viewer(asyncio.BufferedProtocol):
+    """One connection from viewers."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.reader = LineReader()
+        self.transport: asyncio.Transport | None = None
+        self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
+        self.began = self.heard = door.now()
+        self.sound = False
+        self.partial_since = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.door.came(self)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.heard = self.door.now()
+        found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
+        self.partial_since = (self.partial_since or self.heard) if self.reader.partial else 0
+        try:
+            for line in found:
+                self.door.heard(self, line)
+        except Exception as why:
+            self.door.remark(f"a connection is closed: {type(why).__name__}: {why}")
+            self.close()
+        if wrong is not None:
+            self.door.counts["unreadable"] += 1
+            self.close()
+
+    def eof_received(self) -> bool:
+        return False
+
+    def pause_writing(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.door.went(self)
+
+    @property
+    def usable(self) -> bool:
+        """Whether something can be written on it."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+            if self.transport.get_write_buffer_size() > WRITE_MOST:
+                self.door.counts["slow readers"] += 1
+                self.transport.abort()
+
+    def close(self) -> None:
+        """Answer what is held on it, and close it."""
+        for name, playback in list(self.open.items()):
+            self.write(lines.release(name, lines.FAILED))
+            playback.reply = None
+            self.door.leave(playback)
+        if self.transport is not None:
+            self.transport.close()
+
+
+class Door:
+    """All viewers."""
+
+    def __init__(
+        self, told: Configuration, now: Callable[[], int], remark: Callable[[str], None], most: int
+    ) -> None:
+        self.told, self.now, self.remark, self._most = told, now, remark, most
+        self.driver: Driver | None = None
+        self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
+        self.stands: Callable[[Try, Sent], None] | None = None
+        self.host_number: Callable[[str], int] | None = None
+        self.viewers: dict[Viewer, None] = {}  # in the order in which they came
+        self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
+        self.owed: deque[bytes] = deque(maxlen=told.parts.viewers)  # releases that found no connection
+        self.counts: Counter[str] = Counter()
+        self._loop = asyncio.get_running_loop()
+
+    # Connections.
+
+    def came(self, viewer: Viewer) -> None:
+        """A connection is there."""
+        self.viewers[viewer] = None
+        if len(self.viewers) > self._most:
+            idle = [one for one in self.viewers if not one.open]
+            if idle:
+                self.counts["closed for room"] += 1
+                min(idle, key=lambda one: (one.sound, one.heard)).close()
+        while self.owed and viewer.usable:
+            viewer.write(self.owed.popleft())
+
+    def went(self, viewer: Viewer) -> None:
+        """A connection is gone, and what was asked on it."""
+        self.viewers.pop(viewer, None)
+        for playback in list(viewer.open.values()):
+            playback.reply = None
+            self.leave(playback)
+
+    def sweep(self) -> None:
+        """Close those who have sent nothing sound for too long."""
+        now = self.now()
+        for viewer in list(self.viewers):
+            half = viewer.partial_since and now - viewer.partial_since >= UNSOUND_FOR
+            if (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
+                self.counts["closed unsound"] += 1
+                viewer.close()
+        self._loop.call_later(SWEEP / 1e9, self.sweep)
+
+    # Messages.
+
+    def heard(self, viewer: Viewer, line: Line) -> None:
+        """One message."""
+        if not viewer.usable:
+            return
+        found = HEARD.get(line.type)
+        if found is not None:
+            found(self, viewer, line)
+        elif line.type not in FREE:
+            self.counts["unknown type"] += 1
+            viewer.close()
+
+    def _ping(self, viewer: Viewer, line: Line) -> None:
+        viewer.sound = True
+        viewer.write(lines.pong(line.id, True))
+
+    def _release(self, viewer: Viewer, line: Line) -> None:
+        playback = self.known.get(line.id)
+        if playback is not None:
+            viewer.sound = True
+            playback.reply = None
+            self.leave(playback)
+
+    def leave(self, playback: Playback) -> None:
+        """The viewer has given it up, or ended it."""
+        self._forget(playback)
+        if self.driver is not None:
+            self.driver.leave(self.now(), playback)
+            self.arm()
+
+    def _set_up(self, viewer: Viewer, line: Line) -> None:
+        if len(line.id) != 16 or not HEX.issuperset(line.id):
+            self.counts["no id"] += 1
+            viewer.close()
+            return
+        try:
+            wanted, sent, at = self.check(line)
+        except (WrongForm, ValueError, OverflowError) as why:
+            self.counts["wrong form"] += 1
+            self.remark(f"a set-up is refused: {why}")
+            viewer.write(lines.release(line.id, lines.NONSENSE))
+            return
+        held = self.known.get(line.id)
+        if at:
+            viewer.sound = True
+            if held is None:
+                self._hand_over(line.id, wanted, sent, at)
+            return
+        if held is not None:
+            self.counts["id twice"] += 1
+            if held.reply is viewer:
+                # Neither can be told from the other: both end with this one answer.
+                held.reply = None
+                self.leave(held)
+            viewer.write(lines.release(line.id, lines.NONSENSE))
+            return
+        viewer.sound = True
+        self._arrive(viewer, line.id, wanted, sent)
+
+    def _arrive(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent) -> None:
+        if self.driver is None:
+            return
+        self._coming = sent
+        playback = self.driver.arrive(self.now(), wanted, viewer, name)
+        if playback.state == "asked":
+            self.known[name] = viewer.open[name] = playback
+        self.arm()
+
+    def _hand_over(self, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
+        if self.driver is None or self.host_number is None or self.stands is None:
+            return
+        self._coming = sent
+        one = self.driver.hand_over(self.now(), wanted, name, self.host_number(at))
+        self.known[name] = one.playback
+        self.stands(one, sent)
+        self.arm()
+
+    def viewing(self, public: str, wanted: Wanted) -> Viewing:
+        """What the driver keeps with the playback that comes now."""
+        found = Viewing()
+        found.sent = self._coming
+        return found
+
+    def check(self, line: Line) -> tuple[Wanted, Sent, str]:
+        """A set-up's request, what its host gets, and where it plays already.
+
+        Raises WrongForm, ValueError, OverflowError."""
+        told, fields = self.told, line.fields
+        name = fields.get("class")
+        plan = told.plans.get(name) if isinstance(name, str) else None
+        if plan is None or not isinstance(name, str):
+            raise WrongForm("there is no such plan")
+        if not line.sdp:
+            raise WrongForm("it has no description")
+        parts = [part.partition(":") for part in str(fields.get("extras", "")).split(";") if part]
+        extras = {key: value for key, _, value in parts}
+        if len(extras) != len(parts):
+            raise WrongForm("a figure stands twice")
+        at = extras.get("at", "")
+        patience = told.abandon_times[plan] / MS if at else float(fields.get("left", "nan"))
+        # A viewer's clock may run a little otherwise; beyond that no viewer waits longer than its plan does.
+        if not (isfinite(patience) and 0 < patience * MS <= 2 * told.abandon_times[plan]):
+            raise WrongForm(f"it leaves no such time: {fields.get('left')!r:.20}")
+        key = str(fields.get("key", ""))
+        if not 0 < len(key) <= 16 or not HEX.issuperset(key):
+            raise WrongForm("it names no title")
+        top, home, copies = (
+            float(extras[one]) if one in extras else -1.0 for one in ("top", "home", "copies")
+        )
+        cells = told.terms.lineup.cells
+        if not (0 <= top < 256 and 0 <= home < cells and 1 <= copies < 1e6):
+            raise WrongForm("a figure is out of range")
+        viewer = int(extras.get("viewer", "0") or "0", 16)
+        if not 0 <= viewer < 1 << 64:
+            raise WrongForm("its viewer is out of range")
+        wanted = Wanted(
+            plan, told.terms.plans[plan].floor, int(top), int(home), int(copies), int(key, 16), key, viewer,
+            round(patience * MS), extras.get("again") == "1", 0,
+        )  # fmt: skip
+        sent = Sent(int(line.id, 16), name.encode(), key.encode(), line.sdp.encode())
+        return wanted, sent, at
+
+    # What the driver says.
+
+    def answer(self, playback: Playback, final: Final) -> None:
+        """The one answer."""
+        viewer, name = playback.reply, playback.public
+        if final.kind != "plays":
+            self._forget(playback)
+        if not isinstance(viewer, Viewer):
+            return
+        viewer.open.pop(name, None)
+        if final.kind == "plays":
+            flowing = [one for one in playback.tries if one.state == "flowing"]
+            viewer.write(lines.answer(name, flowing[-1].handle.description))
+        else:
+            viewer.write(lines.release(name, CAUSES[final.kind]))
+        self.counts[final.kind] += 1
+
+    def over(self, playback: Playback) -> None:
+        """Nothing is held for it any more; a viewer whose playback ended without it is told."""
+        self._forget(playback)
+        ending = playback.tries[-1].ending if playback.tries else None
+        if playback.state == "over" and ending is not Ending.CALLED_OFF:
+            self.tell(lines.release(playback.public, ENDS.get(ending, lines.CUT) if ending else lines.CUT))
+
+    def moved(self, playback: Playback) -> None:
+        """It has ended here, and its viewer comes again."""
+        self.tell(lines.move(playback.public))
+
+    def tell(self, data: bytes) -> None:
+        """Send what concerns something that stands, on any connection."""
+        usable = [viewer for viewer in reversed(self.viewers) if viewer.usable and viewer.sound]
+        if usable:
+            usable[0].write(data)
+        else:
+            self.owed.append(data)
+
+    def _forget(self, playback: Playback) -> None:
+        if self.known.get(playback.public) is playback:
+            del self.known[playback.public]
+        viewer: Any = playback.reply
+        if isinstance(viewer, Viewer) and viewer.open.get(playback.public) is playback:
+            del viewer.open[playback.public]
+
+
+HEARD: dict[str, Callable[[Door, Viewer, Line], None]] = {
+    "setup": Door._set_up,
+    "release": Door._release,
+    "ping": Door._ping,
+}
--- /dev/null
+++ b/burlmast/node/program.py
@@ -0,0 +1,235 @@
+"""The gateway on the platform as a process: its loop, signals, list and clock, round one driver."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from burlmast import api
+from burlmast.api import Ending, News, Scope, Standing
+from burlmast.edge.clock import Clock
+from burlmast.edge.driver import Driver, Final, Playback, Try
+from burlmast.logic import Gateway
+from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
+from burlmast.node.door import Door, Viewer, Viewing
+from burlmast.node.hosts import HostsSide, Wired
+from burlmast.node.names import Entry
+from burlmast.node.resolver import Resolver
+from burlmast.node.roster import Roster
+
+BAD_CONFIGURATION = 2
+LINES = 50  # of one kind in the log; it counts as memory
+
+
+class Log:
+    """Lines on standard error, so many of each kind and no more."""
+
+    def __init__(self, name: str) -> None:
+        self._name, self._lines = name, Counter[str]()
+
+    def say(self, what: str, kind: str = "") -> None:
+        """A line; `kind` bounds it, or else its first three words."""
+        kind = kind or " ".join(what.split()[:3])
+        self._lines[kind] += 1
+        if self._lines[kind] <= LINES and len(self._lines) <= 10 * LINES:
+            last = " (the last line of this kind)" if self._lines[kind] == LINES else ""
+            print(f"{time.time():.3f} {self._name} {what}{last}", file=sys.stderr, flush=True)
+
+
+class Program:
+    """One gateway. It is the driver's outside and the hosts' ear."""
+
+    def __init__(self, path: Path, told: Configuration) -> None:
+        """Must be made on a running loop."""
+        self.path, self.told = path, told
+        self.loop = asyncio.get_running_loop()
+        self.log = Log(told.name)
+        self.clock = Clock(time.time_ns(), time.monotonic_ns())
+        self.done: asyncio.Future[int] = self.loop.create_future()
+        self._armed: asyncio.TimerHandle | None = None
+        self._armed_for = 0
+        self.roster = Roster(told.zones, told.kinds)
+        self.roster.start(told.serial, told.events)
+        wired = Wired(told.connect, told.parts.hosts, told.streams, told.report)
+        self.hosts = HostsSide(wired, self, self.now)
+        self.door = Door(told, self.now, self.log.say, told.parts.viewers)
+        self.door.arm = self.arm
+        self.door.stands = self.hosts.stands
+        self.door.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
+        self.resolver = Resolver(told.resolver, told.seed, self.now, self._answered, self.log.say)
+        self._lives = 0
+        self.begin()
+
+    def begin(self) -> None:
+        """Decisions that know only the list."""
+        told, seed = self.told, self.told.seed + self._lives
+        self._lives += 1
+        self.driver = Driver(
+            lambda now: Gateway(told.terms, seed, now),
+            self,
+            str,
+            told.terms.allowed.tries,
+            None,
+            self.door.viewing,
+            self.now(),
+        )
+        self.door.driver = self.driver
+        self._list(*self.roster.whole(), list(self.roster.entries.values()))
+        self.arm()
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        self.loop.add_signal_handler(signal.SIGHUP, self.read_again)
+        self.loop.add_signal_handler(signal.SIGTERM, self.stop)
+        await self.loop.create_server(lambda: Viewer(self.door), *self.told.listen, backlog=1024)
+        self.resolver.start()
+        self.door.sweep()
+        gc.collect()
+        gc.freeze()
+        self.log.say(f"listens at {self.told.listen[0]}:{self.told.listen[1]}")
+
+    # Signals.
+
+    def read_again(self) -> None:
+        """The configuration has been replaced: its name server counts from now on."""
+        try:
+            told = read(self.path)
+        except BadConfiguration as why:
+            self.log.say(f"the old configuration stands: {why}")
+            return
+        self.log.say(f"the name server is at {told.resolver[0]}:{told.resolver[1]}")
+        self.resolver.move(told.resolver)
+
+    def stop(self) -> None:
+        """The platform will end this process: until then it answers what comes."""
+        self.log.say(f"told to end; {self.driver.asked} held, {self.driver.playing} playing")
+
+    # Time.
+
+    def now(self) -> int:
+        """The one clock."""
+        return self.clock.now(time.monotonic_ns())
+
+    def arm(self) -> None:
+        """See that the driver's next alarm is rung."""
+        due = self.driver.next_due
+        if due is None or (self._armed is not None and self._armed_for <= due):
+            return
+        if self._armed is not None:
+            self._armed.cancel()
+        self._armed_for = due
+        self._armed = self.loop.call_later(max(0.0, (due - self.now()) / 1e9), self._ring)
+
+    def _ring(self) -> None:
+        self._armed = None
+        self.driver.ring(self.now())
+        self.arm()
+
+    # The list.
+
+    def _answered(self, serial: int, entries: list[Entry]) -> bool:
+        changed = self.roster.answered(serial, entries)
+        if changed:
+            self._list(Scope.CHANGES, self.roster.rows(changed), changed)
+        return changed is not None
+
+    def _list(self, scope: Scope, rows: tuple[api.HostRow, ...], entries: list[Entry]) -> None:
+        wall, monotonic = time.time_ns(), time.monotonic_ns()
+        timed = tuple(
+            row._replace(started=self.clock.start_of(row.host, row.started, wall, monotonic))
+            if row.started
+            else row
+            for row in rows
+        )
+        where = {entry.number: f"{entry.address[0]}:{entry.address[1]}" for entry in entries}
+        self.hosts.listed(entries, lambda entry: entry.standing is Standing.GONE)
+        if scope is Scope.CHANGES:
+            for row in timed:
+                if row.started:
+                    self.hosts.restarted(row.host, row.started)
+        self.driver.listed(self.now(), scope, timed, where)
+        self.arm()
+
+    # The driver's outside.
+
+    def open_try(self, one: Try) -> None:
+        viewing = one.playback.timeline
+        if isinstance(viewing, Viewing):
+            self.hosts.open_try(one, viewing.sent)
+
+    def close_try(self, one: Try) -> None:
+        self.hosts.close_try(one)
+
+    def change_rung(self, one: Try, rung: int) -> None:
+        self.hosts.change_rung(one, rung)
+
+    def probe(self, host: int) -> None:
+        self.hosts.probe(host)
+
+    def keep_informed(self) -> None:
+        """The name server is always asked."""
+
+    def answer(self, playback: Playback, final: Final) -> None:
+        self.door.answer(playback, final)
+
+    def over(self, playback: Playback) -> None:
+        self.door.over(playback)
+
+    def moved(self, now: int, playback: Playback) -> None:
+        self.door.moved(playback)
+
+    def hidden(self, playback: Playback) -> None:
+        """Nothing is shown here."""
+
+    def remark(self, text: str) -> None:
+        self.log.say(text)
+
+    def fault(self, event: object, why: Exception) -> None:
+        self.log.say(f"the decisions failed at {event!r}: {type(why).__name__}: {why}", "fault")
+        for playback in list(self.driver.held.values()):
+            if playback.state == "playing":
+                playback.state = "over"
+                self.door.over(playback)
+        # An end of this process would void more than what these decisions held.
+        self.loop.call_soon(self.begin)
+
+    # The hosts' ear.
+
+    def flowing(self, one: Try) -> None:
+        self.driver.flowing(self.now(), one)
+        self.arm()
+
+    def ended(self, one: Try, ending: Ending, load: api.Load) -> None:
+        self.driver.ended(self.now(), one, ending, load)
+        self.arm()
+
+    def noted(self, one: Try, news: News, value: float) -> None:
+        self.driver.noted(self.now(), one, news, value)
+        self.arm()
+
+    def probed(self, host: int, ending: Ending, took: int, load: api.Load) -> None:
+        self.driver.probed(self.now(), host, ending, took, load)
+        self.arm()
+
+
+async def serve(path: Path, told: Configuration) -> int:
+    """One gateway, until the process is ended. Raises OSError where it cannot listen."""
+    program = Program(path, told)
+    await program.start()
+    return await program.done
+
+
+def main() -> int:
+    """Run as the platform's variables say; the exit code."""
+    try:
+        path, told = from_variables(os.environ)
+        return asyncio.run(serve(path, told))
+    except (BadConfiguration, OSError) as why:
+        print(f"burlmast.node: {why}", file=sys.stderr)
+        return BAD_CONFIGURATION
--- /dev/null
+++ b/burlmast/node/roster.py
@@ -0,0 +1,98 @@
+"""What is known of the list, and when to ask for it again. Free of I/O."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+
+from burlmast import api
+from burlmast.api import Scope, Standing
+from burlmast.node.names import Entry
+
+MS = 1_000_000
+TOLD_BY = 1500 * MS  # what has happened counts as told so much later, as the platform states it
+PERIOD = TOLD_BY // 6  # so that some answers may be lost on the way to that
+PATIENCE = TOLD_BY // 6  # how long an answer is waited for
+
+
+class Roster:
+    """The list as it stands here, by the number of its last event."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self._zones = {name: place for place, name in enumerate(zones)}
+        self._kinds = {name: place for place, name in enumerate(kinds)}
+        self.serial = 0
+        self.entries: dict[str, Entry] = {}
+
+    def start(self, serial: int, events: list[list[Entry]]) -> None:
+        """The list of the start: a whole one, and what has changed since."""
+        for event in events:
+            self.entries.update((entry.name, entry) for entry in event)
+        self.entries = {name: one for name, one in self.entries.items() if one.standing is not Standing.GONE}
+        self.serial = serial
+
+    def answered(self, serial: int, entries: list[Entry]) -> list[Entry] | None:
+        """What has changed by a whole list; None where it is older than what is known."""
+        if serial < self.serial:
+            return None
+        now = {entry.name: entry for entry in entries}
+        changed = [entry for name, entry in now.items() if self.entries.get(name) != entry]
+        changed += [
+            one._replace(standing=Standing.GONE) for name, one in self.entries.items() if name not in now
+        ]
+        self.serial, self.entries = serial, now
+        return changed
+
+    def rows(self, entries: Sequence[Entry]) -> tuple[api.HostRow, ...]:
+        """Entries as the decisions hear them."""
+        return tuple(
+            api.HostRow(
+                one.number,
+                self._zones.get(one.zone, len(self._zones)),
+                self._kinds.get(one.kind, 0),
+                one.cell,
+                one.standing,
+                one.weight,
+                one.started,
+            )
+            for one in entries
+        )
+
+    def whole(self) -> tuple[Scope, tuple[api.HostRow, ...]]:
+        """The list of the start, as it may be out of date by now."""
+        return Scope.CACHED, self.rows(list(self.entries.values()))
+
+
+# State of the question and what happens: the next state, and what is done.
+ASKING: dict[tuple[str, str], tuple[str, str]] = {
+    ("resting", "due"): ("asked", "ask"),
+    ("asked", "answered"): ("resting", "rest"),
+    ("asked", "unsound"): ("unsure", "rest"),
+    ("asked", "due"): ("unsure", "ask afresh"),
+    ("unsure", "answered"): ("resting", "rest"),
+    ("unsure", "due"): ("unsure", "ask afresh"),
+    ("resting", "moved"): ("unsure", "ask afresh"),
+    ("asked", "moved"): ("unsure", "ask afresh"),
+    ("unsure", "moved"): ("unsure", "ask afresh"),
+}
+
+
+class Asking:
+    """When the name server is asked, and under which number."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed, self._draws = seed, 0
+        self.state, self.due, self.number = "resting", 0, 0
+
+    def take(self, now: int, happening: str) -> str:
+        """What to do: ask, ask afresh (over a new socket) or nothing; `due` says when time comes in again."""
+        if happening == "due" and now < self.due:
+            return ""
+        self.state, effect = ASKING.get((self.state, happening), (self.state, ""))
+        if effect == "rest":
+            self.due = now + PERIOD
+        elif effect:
+            self._draws += 1
+            self.number = zlib.crc32(f"{self._seed}:{self._draws}".encode()) & 0xFFFF
+            self.due = now + PATIENCE
+        return effect
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -15,7 +15,8 @@
 from burlmast.api import Ending, HostRow, Load, Scope, Standing
 from burlmast.edge.clock import Clock
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
-from burlmast.edge.endings import ENDINGS, of_answer, read_load, write_load
+from burlmast.edge.endings import ENDINGS, of_answer
+from burlmast.edge.loads import read_load, write_load
 from burlmast.edge.limits import Doorkeeper, Room
 from burlmast.edge.redial import Redial
 from burlmast.logic import NEVER_RAN, Gateway
@@ -59,6 +60,9 @@
     def answer(self, playback: Playback, final: Final) -> None:
         self.answers.append((playback, final))
 
+    def moved(self, now: int, playback: Playback) -> None:
+        self.driver.come_back(now, playback)
+
     def hidden(self, playback: Playback) -> None:
         pass
 
@@ -102,6 +106,7 @@
         maker or (lambda now: script), outside, lambda: next(names), 3, 6 * SECOND,
         lambda _, wanted: Reel(wanted.title_name, "p", 2 * SECOND, 6, 2), START,
     )  # fmt: skip
+    outside.driver = driver
     driver.listed(START, Scope.COMPLETE, ROWS, {row.host: f"127.0.0.1:{row.host}" for row in ROWS})
     return driver, outside, script
 
