--- a/burlmast/node/configuration.py
+++ b/burlmast/node/configuration.py
@@ -75,7 +75,7 @@
     names = [name for name in told["report"].get("fields", ()) if name in settings.FIELDS]
     return Configuration(
         name=str(data["name"]),
-        listen=split(data["listen"]),
+        listen=split(data["listen"], 0),
         resolver=split(data["resolver"]),
         seed=int(str(data["seed"]), 16),
         parts=parts(int(data["limits"]["sockets"])),
@@ -102,7 +102,7 @@
     listen = variables.get("ROUTER_LISTEN")
     if listen:
         try:
-            found = found._replace(listen=split(listen))
+            found = found._replace(listen=split(listen, 0))
         except Unsound as why:
             raise BadConfiguration(f"ROUTER_LISTEN: {why}") from None
     return Path(place), found._replace(name=variables.get("ROUTER_NAME") or found.name)
--- a/burlmast/node/door.py
+++ b/burlmast/node/door.py
@@ -19,6 +19,7 @@
 # Who sends nothing sound is owed a close within 3 s of connecting, by the platform's word.
 UNSOUND_FOR = 1_500 * MS
 SWEEP = 250 * MS
+CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
 WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 HEX = frozenset("0123456789abcdef")
@@ -34,10 +35,11 @@
 class Viewing:
     """What the viewer of a playback is shown here: nothing but its answer, and its end."""
 
-    __slots__ = ("sent",)
+    __slots__ = ("sent", "viewer")
 
-    def __init__(self) -> None:
-        self.sent = Sent(0, b"", b"", b"")
+    def __init__(self, sent: Sent, viewer: Viewer | None) -> None:
+        self.sent = sent
+        self.viewer = viewer  # the connection that asked, if any
 
     def begin(self, now: int, host: str, rung: int) -> None:
         """See `driver.Shown`."""
@@ -59,7 +61,9 @@
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
         self.began = self.heard = door.now()
         self.sound = False
+        self.asked = 0  # sound set-ups on it
         self.partial_since = 0
+        self.said: deque[tuple[int, bytes]] = deque(maxlen=64)  # lately, of what stood
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -111,6 +115,11 @@
                 self.door.counts["slow readers"] += 1
                 self.transport.abort()
 
+    def say(self, data: bytes) -> None:
+        """Write what has to be said on another connection if this one is closing already."""
+        self.said.append((self.door.now(), data))
+        self.write(data)
+
     def close(self) -> None:
         """Answer what is held on it, and close it."""
         for name, playback in list(self.open.items()):
@@ -137,6 +146,7 @@
         self.owed: deque[bytes] = deque(maxlen=told.parts.viewers)  # releases that found no connection
         self.counts: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
+        self._closed = False
 
     # Connections.
 
@@ -148,12 +158,15 @@
             if idle:
                 self.counts["closed for room"] += 1
                 min(idle, key=lambda one: (one.sound, one.heard)).close()
-        while self.owed and viewer.usable:
-            viewer.write(self.owed.popleft())
+        while self.owed and viewer.usable and not self._closed:
+            viewer.say(self.owed.popleft())
 
     def went(self, viewer: Viewer) -> None:
         """A connection is gone, and what was asked on it."""
         self.viewers.pop(viewer, None)
+        for at, data in viewer.said:
+            if self.now() - at < CROSSING and not self._closed:
+                self.say(data)
         for playback in list(viewer.open.values()):
             playback.reply = None
             self.leave(playback)
@@ -166,7 +179,14 @@
             if (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
                 self.counts["closed unsound"] += 1
                 viewer.close()
-        self._loop.call_later(SWEEP / 1e9, self.sweep)
+        if not self._closed:
+            self._loop.call_later(SWEEP / 1e9, self.sweep)
+
+    def close(self) -> None:
+        """Answer what is held, and close every connection."""
+        self._closed = True
+        for viewer in list(self.viewers):
+            viewer.close()
 
     # Messages.
 
@@ -214,8 +234,9 @@
         held = self.known.get(line.id)
         if at:
             viewer.sound = True
+            viewer.asked += 1
             if held is None:
-                self._hand_over(line.id, wanted, sent, at)
+                self._hand_over(viewer, line.id, wanted, sent, at)
             return
         if held is not None:
             self.counts["id twice"] += 1
@@ -226,21 +247,22 @@
             viewer.write(lines.release(line.id, lines.NONSENSE))
             return
         viewer.sound = True
+        viewer.asked += 1
         self._arrive(viewer, line.id, wanted, sent)
 
     def _arrive(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent) -> None:
         if self.driver is None:
             return
-        self._coming = sent
+        self._coming = Viewing(sent, viewer)
         playback = self.driver.arrive(self.now(), wanted, viewer, name)
         if playback.state == "asked":
             self.known[name] = viewer.open[name] = playback
         self.arm()
 
-    def _hand_over(self, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
+    def _hand_over(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
         if self.driver is None or self.host_number is None or self.stands is None:
             return
-        self._coming = sent
+        self._coming = Viewing(sent, viewer)
         one = self.driver.hand_over(self.now(), wanted, name, self.host_number(at))
         self.known[name] = one.playback
         self.stands(one, sent)
@@ -248,9 +270,7 @@
 
     def viewing(self, public: str, wanted: Wanted) -> Viewing:
         """What the driver keeps with the playback that comes now."""
-        found = Viewing()
-        found.sent = self._coming
-        return found
+        return self._coming
 
     def check(self, line: Line) -> tuple[Wanted, Sent, str]:
         """A set-up's request, what its host gets, and where it plays already.
@@ -313,17 +333,28 @@
         self._forget(playback)
         ending = playback.tries[-1].ending if playback.tries else None
         if playback.state == "over" and ending is not Ending.CALLED_OFF:
-            self.tell(lines.release(playback.public, ENDS.get(ending, lines.CUT) if ending else lines.CUT))
+            cause = ENDS.get(ending, lines.CUT) if ending is not None else lines.CUT
+            self.tell(playback, lines.release(playback.public, cause))
 
     def moved(self, playback: Playback) -> None:
         """It has ended here, and its viewer comes again."""
-        self.tell(lines.move(playback.public))
+        self.tell(playback, lines.move(playback.public))
+
+    def tell(self, playback: Playback, data: bytes) -> None:
+        """Send what concerns something that stands: on the connection that asked for it, or another."""
+        viewing = playback.timeline
+        asked = viewing.viewer if isinstance(viewing, Viewing) else None
+        if asked is not None and asked.usable:
+            asked.say(data)
+        else:
+            self.say(data)
 
-    def tell(self, data: bytes) -> None:
-        """Send what concerns something that stands, on any connection."""
-        usable = [viewer for viewer in reversed(self.viewers) if viewer.usable and viewer.sound]
+    def say(self, data: bytes) -> None:
+        """Send what concerns something that stands on some connection."""
+        # Danger: who asked once and keeps the connection may not listen for what others are owed.
+        usable = [viewer for viewer in self.viewers if viewer.usable and viewer.sound]
         if usable:
-            usable[0].write(data)
+            max(usable, key=lambda viewer: (viewer.asked, viewer.heard)).say(data)
         else:
             self.owed.append(data)
 
--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -419,6 +419,9 @@
         standing = any(call.one.state == "flowing" for call in self.calls.values())
         if not standing:
             self.heard = now
+        elif not self.links and not self.coming:
+            # Danger: the list may have dropped it while a connection was still hoped for.
+            self.keep_reachable()
         elif now - self.heard >= SILENT and not self.coming:
             self.dial()
 
@@ -440,6 +443,7 @@
         self.hosts: dict[int, MediaHost] = {}
         self.opened = 0
         self._sessions = 0
+        self._closed = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch()
 
@@ -520,7 +524,19 @@
         self._sessions += 1
         host.test(self._sessions)
 
+    def close(self) -> None:
+        """Close every connection, and dial no more."""
+        self._closed = True
+        for host in self.hosts.values():
+            host.listed = False
+            for link in list(host.links):
+                link.close("retired")
+        for task in self._tasks:
+            task.cancel()
+
     def _watch(self) -> None:
+        if self._closed:
+            return
         now = self.now()
         for host in list(self.hosts.values()):
             host.watch(now)
--- a/burlmast/node/names.py
+++ b/burlmast/node/names.py
@@ -46,10 +46,10 @@
         return zlib.crc32(self.name.encode())
 
 
-def split(address: str) -> tuple[str, int]:
-    """Host and port. Raises Unsound."""
+def split(address: str, least: int = 1) -> tuple[str, int]:
+    """Host and port, which is `least` or above. Raises Unsound."""
     name, _, port = address.rpartition(":")
-    if not name or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not name or not port.isdecimal() or not least <= int(port) < 65536:
         raise Unsound(f"not an address: {address}")
     return name, int(port)
 
@@ -108,6 +108,7 @@
         (one.name, one.rdtype, record)
         for one in (*message.answer, *message.authority, *message.additional)
         for record in one
+        if one.rdclass == dns.rdataclass.IN
     ]
     addresses = {name: r.address for name, kind, r in records if kind == dns.rdatatype.A}
     texts = {name: r.strings for name, kind, r in records if kind == dns.rdatatype.TXT}
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -87,12 +87,24 @@
         """Begin to listen."""
         self.loop.add_signal_handler(signal.SIGHUP, self.read_again)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        await self.loop.create_server(lambda: Viewer(self.door), *self.told.listen, backlog=1024)
+        self.server = await self.loop.create_server(
+            lambda: Viewer(self.door), *self.told.listen, backlog=1024
+        )
+        self.port: int = self.server.sockets[0].getsockname()[1]
         self.resolver.start()
         self.door.sweep()
         gc.collect()
         gc.freeze()
-        self.log.say(f"listens at {self.told.listen[0]}:{self.told.listen[1]}")
+        self.log.say(f"listens at {self.told.listen[0]}:{self.port}")
+
+    def close(self) -> None:
+        """Close every socket."""
+        self.server.close()
+        self.resolver.close()
+        self.door.close()
+        self.hosts.close()
+        if self._armed is not None:
+            self._armed.cancel()
 
     # Signals.
 
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -16,8 +16,8 @@
 from burlmast.edge.clock import Clock
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
 from burlmast.edge.endings import ENDINGS, of_answer
-from burlmast.edge.loads import read_load, write_load
 from burlmast.edge.limits import Doorkeeper, Room
+from burlmast.edge.loads import read_load, write_load
 from burlmast.edge.redial import Redial
 from burlmast.logic import NEVER_RAN, Gateway
 from burlmast.settings.read import terms
