What stands is released where no connection is left; newcomers to a full door get in

At fault: Door.came, which closed who had sent nothing sound first, and so whoever had just come. The silent go first now, then those who asked once, then who has just come, then the others.

Two that fail with none left are proof now, and silence of a delisted host is. Closed connections and signals were ruled out by a trace.

Three tests, each seen to fail before.

--- a/burlmast/node/door.py
+++ b/burlmast/node/door.py
@@ -103,6 +103,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.door.went(self)
 
+    def standing(self, now: int) -> int:
+        """Who goes first where room is short: the silent, who asked once, who has just come, the others.
+
+        Danger: who has just come and not asked yet looks like the silent, and would never get in."""
+        if not self.sound:
+            return 0 if now - self.began >= SWEEP else 2
+        return 1 if self.asked <= 1 else 3
+
     @property
     def usable(self) -> bool:
         """Whether something can be written on it."""
@@ -155,10 +163,9 @@
         """A connection is there."""
         self.viewers[viewer] = None
         if len(self.viewers) > self._most:
+            self.counts["closed for room"] += 1
             idle = [one for one in self.viewers if not one.open]
-            if idle:
-                self.counts["closed for room"] += 1
-                min(idle, key=lambda one: (one.sound, one.heard)).close()
+            min(idle, key=lambda one: (one.standing(self.now()), one.heard)).close()
         while self.owed and viewer.usable and not self._closed:
             viewer.say(self.owed.popleft())
 
--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -223,7 +223,8 @@
                 self.side.ear.probed(
                     self.number, Ending.NO_CONNECTION, max(0, self.side.now() - began), api.Load()
                 )
-        if refused or (self.failures >= GONE_AFTER and self.side.now() - self.heard >= SILENT):
+        silent = not self.open_links() or self.side.now() - self.heard >= SILENT
+        if refused or (self.failures >= GONE_AFTER and silent):
             self.cut("refused" if refused else "silent")
 
     def cut(self, why: str) -> None:
@@ -423,7 +424,11 @@
             # Danger: the list may have dropped it while a connection was still hoped for.
             self.keep_reachable()
         elif now - self.heard >= SILENT and not self.coming:
-            self.dial()
+            if self.listed:
+                self.dial()
+            else:
+                # Danger: it is not dialled any more, and its connections may stay open and silent for good.
+                self.cut("silent and not listed")
 
 
 HEARD: dict[int, Callable[[MediaHost, Link, Frame], None]] = {
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -17,6 +17,7 @@
 
 from burlmast.node import frames
 from burlmast.node.frames import Frame, frame
+from burlmast.node.hosts import SILENT
 
 OTHER = "00000000000000aa"
 SESSION = int(ID, 16)
@@ -136,6 +137,35 @@
     run(work, tmp_path)
 
 
+def test_what_stands_where_no_connection_is_left_and_none_comes_up_is_over(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        known = next(h for h in one.program.hosts.hosts.values() if h.name == host.name)
+        known.dial = lambda: None  # type: ignore[method-assign]
+        host.die()
+        await until(lambda: not known.links)
+        known.unreachable(False)
+        assert ID in one.program.door.known, "one connection that does not come up proves nothing"
+        known.unreachable(False)
+        assert (await line.hear())["cause"] == 41
+
+    run(work, tmp_path)
+
+
+def test_what_stands_at_a_silent_host_that_the_list_has_dropped_is_over(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        known = next(h for h in one.program.hosts.hosts.values() if h.name == host.name)
+        one.names.serial += 1
+        del one.names.rows[host.name]
+        await until(lambda: not known.listed)
+        assert ID in one.program.door.known, "it may be heard on its open connections yet"
+        known.watch(known.heard + SILENT)
+        assert (await line.hear())["cause"] == 41
+
+    run(work, tmp_path)
+
+
 SPOILT: dict[str, Callable[[Frame], bytes]] = {
     "noise": lambda m: b"\xff\x00" * 40,
     "an impossible length": lambda m: b"\x00\x03\x09" + b"\x00" * 8,
@@ -287,6 +317,23 @@
     run(work, tmp_path)
 
 
+def test_who_comes_to_a_door_full_of_those_who_asked_once_is_served(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        usual, _ = await playing(one)
+        usual.set_up(OTHER)
+        assert (await usual.hear())["type"] == "answer"
+        room = one.program.told.parts.viewers
+        crowd = [(await playing(one, f"{n:016x}"))[0] for n in range(0x100, 0x100 + room)]
+        newcomer = await one.line()
+        await until(lambda: one.program.door.counts["closed for room"] >= 2)
+        newcomer.set_up("00000000000000dd")
+        usual.set_up("00000000000000ee")
+        assert (await newcomer.hear())["type"] == (await usual.hear())["type"] == "answer"
+        assert len(one.program.door.viewers) == room == len(crowd)
+
+    run(work, tmp_path)
+
+
 def test_a_viewer_that_gives_up_is_answered_no_more_and_its_host_hears_of_it(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         for host in one.hosts:
