A draining host that refuses connections plays on until the list drops it

At fault: MediaHost.unreachable, which took any refusal for a dead process. A host that the list says drains is dialled on, and what stands there is over when the list drops it.

The test failed before: the playback was released at the refusal.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple, Protocol
 
 from burlmast import api
-from burlmast.api import Ending, News
+from burlmast.api import Ending, News, Standing
 from burlmast.edge.driver import Try
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
 from burlmast.node import frames
@@ -146,7 +146,7 @@
 
     def __init__(self, side: HostsSide, number: int, name: str, address: tuple[str, int]) -> None:
         self.side, self.number, self.name, self.address = side, number, name, address
-        self.listed = True
+        self.listed, self.draining = True, False
         self.links: set[Link] = set()  # never walked where order shows
         self.calls: dict[int, Call] = {}
         self.waiting: list[Call] = []  # for a connection
@@ -224,7 +224,8 @@
                     self.number, Ending.NO_CONNECTION, max(0, self.side.now() - began), api.Load()
                 )
         silent = not self.open_links() or self.side.now() - self.heard >= SILENT
-        if refused or (self.failures >= GONE_AFTER and silent):
+        # Danger: a host that drains refuses connections and plays on; the list says when it is gone.
+        if not self.draining and (refused or (self.failures >= GONE_AFTER and silent)):
             self.cut("refused" if refused else "silent")
 
     def cut(self, why: str) -> None:
@@ -484,6 +485,8 @@
                     host.listed = False
                     host.cut("at another address")
                 self.hosts[entry.number] = MediaHost(self, entry.number, entry.name, entry.address)
+            if entry.number in self.hosts:
+                self.hosts[entry.number].draining = entry.standing is Standing.DRAINING
         for number, host in list(self.hosts.items()):
             if not host.listed and not host.calls and not host.links and not host.coming:
                 del self.hosts[number]
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -150,6 +150,23 @@
     run(work, tmp_path)
 
 
+def test_what_stands_at_a_draining_host_that_refuses_plays_on_until_the_list_drops_it(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        known = next(h for h in one.program.hosts.hosts.values() if h.name == host.name)
+        one.names.serial += 1
+        one.names.rows[host.name] = host.port, 1
+        await until(lambda: known.draining)
+        host.die()
+        await until(lambda: known.failures >= 2)
+        assert ID in one.program.door.known
+        one.names.serial += 1
+        del one.names.rows[host.name]
+        assert (await line.hear())["cause"] == 41
+
+    run(work, tmp_path)
+
+
 def test_what_stands_at_a_host_that_the_list_drops_is_over_though_its_connections_stay_open(
     tmp_path: Path,
 ) -> None:
