--- a/burlmast/node/configuration.py
+++ b/burlmast/node/configuration.py
@@ -42,7 +42,6 @@
     abandon_times: tuple[int, ...]
     report: dict[str, str]
     connect: int
-    told_every: int
     streams: int
 
 
@@ -88,7 +87,6 @@
         abandon_times=tuple(round(plan["hardLimitMs"] * MS) for plan in listed),
         report={name: settings.FIELDS[name] for name in names},
         connect=round(allowed["connectTimeoutMs"] * MS),
-        told_every=round(told["familyInfo"].get("toldEveryMs", 0) * MS),
         streams=max(1, int(allowed["streamsPerConn"])),
     )
 
