Streams that hosts do not tell are reckoned from what their links are asked for

A trace of each first rung showed room of 0.5 to 1.0 of a link divided by 41, the number of gateways, at most requests. alike() takes how many others may want a room from the streams that hosts tell, and counts all gateways where none were told; rise() counts nobody there. Ruled out: uplinks (0.6 to 0.8 free), noted shares (none), the pace (99.6% in time).

Change: a gateway that has never been told streams takes as many as its own usual rate goes into what the link is asked for.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -150,6 +150,7 @@
         self.cells: dict[int, list[Host]] = {}
         self.busy: dict[int, Host] = {}  # hosts that a tick has to look after
         self.parts: deque[float] = deque(maxlen=WINDOW)  # what links were lately said to carry, over the size
+        self.counted = False  # hosts tell how many streams they run
         self.crowds: deque[float] = deque(maxlen=WINDOW)  # streams that hosts lately said they run
         self.arrivals: deque[tuple[int, float]] = deque(maxlen=WINDOW)  # when, holders' part of all hosts
         self.usual: tuple[float, int, float, list[int]] | None = (
@@ -281,8 +282,7 @@
             host.share = (now, event.value) if event.value < SHORT else None
             host.stepped = now if host.share else host.stepped
         elif event.news is News.LINK:
-            host.link.asked = (now - lag, event.value)
-            self.parts.append(event.value)
+            self.carries(now, now - lag, host, event.value)
         elif event.news is News.UPLINK:
             host.rack.uplink.asked, host.rack.reports = (now - lag, event.value), True
         elif pb.plan.floor <= event.value <= pb.top:
@@ -320,15 +320,27 @@
         sound = [value if value is not None and isfinite(value) and value >= 0 else None for value in load]
         streams, link, uplink = sound
         if streams is not None:
-            host.streams = (now, streams)
-            self.crowds.append(streams)
-            self.usual = None
+            self.counted = True
+            self.crowd(now, host, streams)
         if link is not None:
-            host.link.asked = (now, link)
-            self.parts.append(link)
+            self.carries(now, now, host, link)
         if uplink is not None:
             host.rack.uplink.asked, host.rack.reports = (now, uplink), True
 
+    def carries(self, now: int, at: int, host: Host, link: float) -> None:
+        host.link.asked = (at, link)
+        self.parts.append(link)
+        held = sum(len(one.playbacks) for one in self.busy.values())
+        if not self.counted and held:
+            # Where hosts do not tell their streams, as many as ours would make up what is asked.
+            usual = sum(one.link.own for one in self.busy.values()) / held
+            self.crowd(now, host, link * host.link.size / max(usual, self.terms.ladder.rates[0]))
+
+    def crowd(self, now: int, host: Host, streams: float) -> None:
+        host.streams = (now, streams)
+        self.crowds.append(streams)
+        self.usual = None
+
     # The account.
 
     def alike(self, now: int, span: int) -> float:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -258,3 +258,15 @@
         return len(seen)
 
     assert calls(400, 300) < 1.3 * calls(20, 3)
+
+
+def test_streams_that_hosts_do_not_tell_are_reckoned_from_their_links() -> None:
+    rungs = []
+    for streams in (6.0, None):
+        desk = Desk(gateways=300)
+        desk.now += 100 * SECOND
+        desk.play(1, 0, rung=1)
+        for host in range(4):
+            desk.take(api.Probed(host, Ending.SERVED, MS, Load(streams, 0.3)))
+        rungs.append(of(desk.ask(2), api.SetRung)[0].rung)
+    assert rungs == [3, 3]  # six like ours on a link of 8,000 asked for 0.3, not one for each of 300 gateways
