A request is rejected at once where even the roomiest holder is told short

Where a missing point of the rate costs stallCost points of revenue, n playbacks on a short link earn n * (1 - stall * (0.98 - share)), which falls with n wherever stall is over 1/0.98: one more loses more than it earns.

Change: stallCost is read (it was not); where it is over that, a request whose roomiest holder told within five seconds that its link or uplink is asked for more than it gives, or whose corrected share is short, is rejected at once with the longest advice. With no stall cost set the design's word stands: the roomiest takes it at the lowest rung. It covers crowds, lost uplinks and other programs on links alike; it may hurt where a shortage is about to end.

--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -105,6 +105,7 @@
     reports: bool
     tells: bool
     note_lag: int
+    stall: float = 0.0  # points of revenue lost for each point of its rate that a playback does not get
 
 
 @dataclass(frozen=True)
--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -456,6 +456,8 @@
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if able and now < pb.arrived + pb.plan.startup_target else "abandon"
         (*_, room, _), _, host = max((self.rank(now, pb, host), host.id, host) for host in paced)
+        if self.at_the_brim(now, host):
+            return "abandon"
         if not pb.tries and not pb.asked and self.stale(now, host):
             pb.asked = True
             host.askers.append(pb)
@@ -464,6 +466,13 @@
         self.set_up(now, pb, host, self.first_rung(now, pb, host, room))
         return "sent"
 
+    def at_the_brim(self, now: int, host: Host) -> bool:
+        """Told short, where a missing point costs more than one: one more there loses more than it earns."""
+        pipes = (host.link, host.rack.uplink)
+        told = [pipe.asked[1] for pipe in pipes if pipe.asked and now - pipe.asked[0] < FRESH]
+        short = max(told, default=0.0) * SHORT > 1 or self.share(now, host) < SHORT
+        return short and self.terms.lineup.stall * SHORT > 1
+
     def rank(self, now: int, pb: Playback, host: Host) -> tuple[float, ...]:
         room = self.room(now, host)
         # Danger: a host out of places on an idle link looks roomier than any link that is short.
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -212,6 +212,7 @@
             reports=fleet.reports,
             tells=fleet.tells,
             note_lag=nanoseconds(fleet.note_lag_ms),
+            stall=fleet.stall_cost,
         ),
         allowed=api.Allowed(
             probes=allowed.probes,
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -46,6 +46,7 @@
     reports: bool = True
     tells: bool = True
     note_lag_ms: float = 800.0
+    stall_cost: float = 0.0
 
 
 class Leave(Sheet, frozen=True):
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -116,6 +116,7 @@
             reports=report.get("source", str) == "piggyback",
             tells=report.get("source", str) != "silent",
             note_lag=fam.span("seeMs", 0.0),
+            stall=fam.get("stallCost", float, 0.0),
         ),
         allowed=api.Allowed(
             probes=allowed.get("probes", bool),
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -270,3 +270,14 @@
             desk.take(api.Probed(host, Ending.SERVED, MS, Load(streams, 0.3)))
         rungs.append(of(desk.ask(2), api.SetRung)[0].rung)
     assert rungs == [3, 3]  # six like ours on a link of 8,000 asked for 0.3, not one for each of 300 gateways
+
+
+@pytest.mark.parametrize(("stall", "answer"), [(0.0, api.SetUp), (1.0, api.SetUp), (7.0, api.Reject)])
+def test_one_more_is_turned_away_where_even_the_roomiest_is_told_short(stall: float, answer: type) -> None:
+    desk = Desk(hosts=2, lineup=replace(TERMS.lineup, stall=stall))
+    for host, asked in ((0, 1.4), (1, 1.1)):
+        desk.play(host, host)
+        desk.take(api.Note(host, 0, host, News.LINK, asked))
+    assert of(desk.ask(10), answer)
+    desk.take(api.Note(1, 0, 1, News.LINK, 0.9))
+    assert of(desk.ask(11), api.SetUp)[0].host == 1
