What a host runs proves its age; who runs as much as others is no newcomer

Cause: for the warm time after each start a gateway takes every host for cold, since its list may be old, and hundreds of gateways take turns of one set-up.

Change: streams that a host tells came no faster than it falls over, which bounds its age from below; and a presumed host that once ran half of the usual streams gets one set-up a span from each gateway, where four times what all gateways ask of a usual host is under its budget. Told a start, or fallen, it is under the pace as before. One unknown holder is asked where none may be sent to. It covers every start and restart of gateways; it may hurt where a crowd wants one title of a host that restarted unheard just before us. lines at fault: Gateway.listed (risen = now) and pace_allows.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -32,6 +32,7 @@
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
 FRESH = 5 * SECOND  # what a host told counts so long as news; hosts repeat a short share each second
+MARGIN = 4  # the pace over what a host is usually asked for, for chance and for crowds
 IN_A_ROW = 2  # failures that set a host aside, answers to probes that bring it back
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
@@ -101,6 +102,8 @@
         self.link = Pipe(0.0, rack.uplink.gateway)
         self.state, self.places = "trusted", 1
         self.risen = 0  # the latest moment at which it may have started, as far as is known
+        self.presumed = False  # that it may have risen lately is known only from how old our list may be
+        self.settled = False  # it has told since our start that it runs as much as others do
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.in_a_row = 0  # failures, or, set aside, answers to probes
         self.probing = False
@@ -197,11 +200,12 @@
             if host is None or host not in host.rack.hosts:
                 host = self.hosts[row.host] = host or Host(row, self.racks[row.cell % len(self.racks)])
                 # A gateway that starts knows only its last list, and a host may have restarted since.
-                host.risen = now if event.scope is Scope.CACHED else row.started
+                host.presumed = event.scope is Scope.CACHED
+                host.risen = now if host.presumed else row.started
                 host.rack.hosts.append(host)
                 self.cells.setdefault(row.cell, []).append(host)
             elif row.started > host.row.started:
-                host.risen = max(host.risen, row.started)
+                host.risen, host.presumed = max(host.risen, row.started), False
                 host.fell, host.link.asked, host.share = False, None, None
             host.row, host.places = row, dict(enumerate(lineup.streams_by_kind)).get(row.kind, 1)
         if event.scope is not Scope.CHANGES:
@@ -340,6 +344,16 @@
         host.streams = (now, streams)
         self.crowds.append(streams)
         self.usual = None
+        if host.presumed and self.counted:
+            # What runs there came no faster than it falls over: the age at which so many can.
+            cold = min(self.terms.rules.cold_share, 0.99)
+            part = max(0.0, streams - self.pace(host)[1]) / max(
+                1.0, self.terms.rules.fall_multiple * host.places
+            )
+            age = ((cold**2 + 2 * (1 - cold) * part) ** 0.5 - cold) / (1 - cold)
+            host.risen = max(host.row.started, min(host.risen, now - int(age * self.terms.rules.warm_after)))
+        # Danger: a newcomer is empty, and all of us would prefer it; what runs as much as others do is none.
+        host.settled = host.settled or streams >= max(1.0, median(self.crowds) / 2)
 
     # The account.
 
@@ -402,6 +416,9 @@
         if not host.fell and now - host.risen >= self.terms.rules.warm_after:
             return True
         span, budget = self.pace(host)
+        lately = sum(1 for at in host.sent if now - at < span)
+        if host.presumed and host.settled and not host.fell and not lately and self.few(now, host):
+            return True
         # Danger: an earlier life of this gateway may have spent the share of this span already.
         if now - self.began < span:
             return False
@@ -410,7 +427,14 @@
         # them than are left; where only one is, a whole span passes before the next.
         turn, into = divmod(now // (span // 4), 5) if rest < 2 else (now // (span // (rest - 1)), 0)
         mine = rest and not into and (self.terms.number - turn - host.id) % self.terms.gateways == 0
-        return sum(1 for at in host.sent if now - at < span) < share + bool(mine)
+        return lately < share + bool(mine)
+
+    def few(self, now: int, host: Host) -> bool:
+        """All gateways together ask a usual host far less than this one could take if it were cold."""
+        span, budget = self.pace(host)
+        since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
+        mine = len(self.arrivals) * span / max(since, 1)
+        return MARGIN * mine * self.terms.gateways / max(1, len(self.hosts)) <= budget
 
     def may_try(self, now: int, pb: Playback) -> bool:
         plan, rules = pb.plan, self.terms.rules
@@ -452,10 +476,16 @@
         holders = self.holders(pb.request) if self.may_try(now, pb) else ()
         able = [host for host in holders if self.may_send(now, pb, host)]
         paced = [host for host in able if self.pace_allows(now, host)]
+        unsure = [host for host in able if host.presumed and host.streams[0] < self.began]
+        if not paced and not pb.asked and (unsure := [host for host in unsure if self.stale(now, host)]):
+            pb.asked = True
+            self.ask(now, host := self.best(now, pb, unsure)[-1])
+            host.askers.append(pb)
+            return "ask"
         if not paced:
             # Danger: a rejection for want of a turn sends the viewer round again; a turn comes soon.
             return "wait" if able and now < pb.arrived + pb.plan.startup_target else "abandon"
-        (*_, room, _), _, host = max((self.rank(now, pb, host), host.id, host) for host in paced)
+        (*_, room, _), _, host = self.best(now, pb, paced)
         if self.at_the_brim(now, host):
             return "abandon"
         if not pb.tries and not pb.asked and self.stale(now, host):
@@ -473,6 +503,9 @@
         short = max(told, default=0.0) * SHORT > 1 or self.share(now, host) < SHORT
         return short and self.terms.lineup.stall * SHORT > 1
 
+    def best(self, now: int, pb: Playback, hosts: list[Host]) -> tuple[tuple[float, ...], int, Host]:
+        return max((self.rank(now, pb, host), host.id, host) for host in hosts)
+
     def rank(self, now: int, pb: Playback, host: Host) -> tuple[float, ...]:
         room = self.room(now, host)
         # Danger: a host out of places on an idle link looks roomier than any link that is short.
@@ -556,7 +589,7 @@
     def clear(self, now: int, host: Host) -> None:
         host.in_a_row = 0
         if host.fell:  # it may be a new process: nothing says since when
-            host.fell, host.risen = False, now
+            host.fell, host.presumed, host.risen = False, False, now
 
     # Stepping what plays.
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -207,7 +207,7 @@
             ending = dice.choice((Ending.SERVED, Ending.SERVED, Ending.TIMEOUT, Ending.NO_CONNECTION))
             if ending is not Ending.SERVED:
                 self.knows[number, host] = self.started[host]
-            self.hand(number, api.Probed(host, ending, MS, api.Load(3.0, 0.4)))
+            self.hand(number, api.Probed(host, ending, MS, self.load(host)))
         if dice.random() < 0.25:
             self.arrive(dice.randrange(self.terms.gateways))
         for key in list(self.tries):
@@ -231,6 +231,12 @@
         self.taken[number].append(self.now)
         self.hand(number, api.Arrived(request))
 
+    def load(self, host: int) -> api.Load:
+        """What runs there of what was sent since it started."""
+        since = self.started[host]
+        there = [t for tries in self.tries.values() for t in tries if t.host == host and t.sent >= since]
+        return api.Load(float(sum(1 for t in there if t.ending is None)), 0.4)
+
     def outcome(self, key: tuple[int, int], one: Try) -> None:
         dice, place = self.dice, len(self.tries[key]) - 1
         over = one.flows or key in self.answered
@@ -248,7 +254,7 @@
             one.ending = ending
             if ending in (Ending.BROKEN, Ending.NO_CONNECTION, Ending.TIMEOUT):
                 self.knows[key[0], one.host] = self.started[one.host]
-            event = api.Ended(key[1], place, one.host, ending, self.now - one.sent, over, api.Load(3.0, 0.4))
+            event = api.Ended(key[1], place, one.host, ending, self.now - one.sent, over, self.load(one.host))
             self.hand(key[0], event)
 
     def trouble(self) -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -9,7 +9,7 @@
 from helpers import MS, PLAN, SECOND, TERMS, Desk, of, row
 
 from burlmast import api
-from burlmast.api import Ending, Load, News, Repeat, Scope, Standing
+from burlmast.api import Ending, Load, News, Repeat, Request, Scope, Standing
 from burlmast.logic import PB_TOKEN, QUIET, TICK
 
 NAN = float("nan")
@@ -281,3 +281,43 @@
     assert of(desk.ask(10), answer)
     desk.take(api.Note(1, 0, 1, News.LINK, 0.9))
     assert of(desk.ask(11), api.SetUp)[0].host == 1
+
+
+@pytest.mark.parametrize(
+    ("streams", "asked", "then", "sent"),
+    [
+        (12.0, 1, "", True),
+        (0.0, 1, "", False),  # a newcomer is empty
+        (12.0, 15, "", False),  # asked more than a cold host could take
+        (12.0, 1, "told", False),
+        (12.0, 1, "falls", False),
+    ],
+)
+def test_what_runs_as_much_as_others_is_no_newcomer(
+    streams: float, asked: int, then: str, sent: bool
+) -> None:
+    lineup = replace(TERMS.lineup, cells=100)
+    desk = Desk(hosts=0, gateways=100, number=50, lineup=lineup)
+    desk.listed(*(row(host, cell=host) for host in range(100)), scope=Scope.CACHED)
+    desk.now += 4 * SECOND
+    for host in range(50):
+        desk.take(api.Probed(host, Ending.SERVED, MS, Load(streams if host < 4 else 12.0, 0.3)))
+    if then == "told":
+        desk.listed(*(row(host, cell=host, started=desk.now - SECOND) for host in range(4)))
+    for host in range(4) if then == "falls" else ():
+        desk.take(api.Probed(host, Ending.TIMEOUT, MS, Load()))
+    for pb in range(1, asked):
+        desk.take(api.Arrived(Request(pb, 0, 3.0, 50, 4, 1, pb, 3 * SECOND)))
+    assert bool(of(desk.ask(99), api.SetUp)) == sent
+
+
+def test_streams_prove_that_a_host_has_been_up_for_as_long_as_so_many_take() -> None:
+    desk = Desk(hosts=0, gateways=100)
+    desk.listed(row(0), row(1), scope=Scope.CACHED)
+    for host, streams in ((0, 29.0), (1, 3.0)):
+        desk.take(api.Probed(host, Ending.SERVED, MS, Load(streams, 0.3)))
+    ages = [(desk.now - desk.gateway.hosts[host].risen) / SECOND for host in (0, 1)]
+    # 29 of 30 places, less a budget of 6: 0.26 of three times its pace over the warm time
+    assert (
+        ages[0] == pytest.approx(12 * ((0.16 + 1.2 * 23 / 90) ** 0.5 - 0.4) / 0.6, rel=0.01) and ages[1] == 0
+    )
