--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -8,8 +8,10 @@
 it stand these mechanisms, six at most:
 1. Others' part: what other gateways do at the same time is estimated, in notes, rooms and steps alike.
 2. Setting aside: hosts that fail several times in a row get no set-ups until they have answered probes.
-3. Cold pace: a host that may have started lately gets a share of set-ups that is safe whatever others send.
-4. Further tries: a try that fails or stays out too long goes to the next holder, within terms and budget.
+3. Cold pace: a host that may have started lately gets a share of set-ups that is safe whatever others send,
+   until what it runs proves its age, or shows it to be no newcomer where few are asked for.
+4. Tries and answers: a try that fails or stays out too long goes to the next holder, within terms and
+   budget; where even the roomiest is told short, one more would lose more than it earns, and is rejected.
 5. Uplinks by inference: hosts that are short though their links have room tell of an uplink.
 6. Asking first: a host that told nothing lately is probed before more is put there.
 """
@@ -345,13 +347,11 @@
         self.crowds.append(streams)
         self.usual = None
         if host.presumed and self.counted:
-            # What runs there came no faster than it falls over: the age at which so many can.
-            cold = min(self.terms.rules.cold_share, 0.99)
-            part = max(0.0, streams - self.pace(host)[1]) / max(
-                1.0, self.terms.rules.fall_multiple * host.places
-            )
-            age = ((cold**2 + 2 * (1 - cold) * part) ** 0.5 - cold) / (1 - cold)
-            host.risen = max(host.row.started, min(host.risen, now - int(age * self.terms.rules.warm_after)))
+            # What runs there came no faster than it falls over: since when so many can have come.
+            rules, cold = self.terms.rules, min(self.terms.rules.cold_share, 0.99)
+            part = max(0.0, streams - self.pace(host)[1]) / max(1.0, rules.fall_multiple * host.places)
+            age = ((cold**2 + 2 * (1 - cold) * part) ** 0.5 - cold) / (1 - cold) * rules.warm_after
+            host.risen = max(host.row.started, min(host.risen, now - int(age)))
         # Danger: a newcomer is empty, and all of us would prefer it; what runs as much as others do is none.
         host.settled = host.settled or streams >= max(1.0, median(self.crowds) / 2)
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -317,7 +317,7 @@
     for host, streams in ((0, 29.0), (1, 3.0)):
         desk.take(api.Probed(host, Ending.SERVED, MS, Load(streams, 0.3)))
     ages = [(desk.now - desk.gateway.hosts[host].risen) / SECOND for host in (0, 1)]
-    # 29 of 30 places, less a budget of 6: 0.26 of three times its pace over the warm time
+    # 29 streams less a budget of 6: 0.26 of what three times its pace gives over the warm time
     assert (
         ages[0] == pytest.approx(12 * ((0.16 + 1.2 * 23 / 90) ** 0.5 - 0.4) / 0.6, rel=0.01) and ages[1] == 0
     )
