Presumed hosts are free of turns where twice the usual demand is under the pace

The demand that gateways reckon is two to eight times what hosts are sent there (0.5 to 1.4 a second beside 0.12): who is asked more looks more often, and rejected viewers ask again. A margin of 4 on top of that refused the proof to most.

Change: MARGIN 4 to 2.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -34,7 +34,7 @@
 QUIET = 20 * SECOND  # no rise on a link so long after a step down or a short note there
 SHORT = 0.98  # hosts note a share under this; a note at or above it says that the shortage is over
 FRESH = 5 * SECOND  # what a host told counts so long as news; hosts repeat a short share each second
-MARGIN = 4  # the pace over what a host is usually asked for, for chance and for crowds
+MARGIN = 2  # the pace over what a host is usually asked for, for chance and for crowds
 IN_A_ROW = 2  # failures that set a host aside, answers to probes that bring it back
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
