Settings with figures that no rule can be kept with are named in one line

Negative seats, a floor over the ladder or a budget over 1 were taken as they stood; of cpu_share, which ends at 1, and x0 the first named counted, so that a link asked for twice what it gives read as just full; a list that has to be asked for, with no askWithinMs, was asked for again in every batch after a failure.

A new end-to-end test starts the program with paid plans, a floor, seats, no probes and a budget of one further try: the rung is the floor, a third of a title is refused while another title is served and again once a seat is free, a paid set-up whose connection broke is failed after its one try, one turned away as full goes on, and the next further try is not made.

--- a/burlmast/node/configuration.py
+++ b/burlmast/node/configuration.py
@@ -69,9 +69,9 @@
 
 def _read(data: Any) -> Configuration:
     told = data["settings"]
-    terms, _ = settings.read(json.dumps(told).encode())
+    terms, fields = settings.read(json.dumps(told).encode())
     allowed, listed, known = told["allowed"], told["requestClasses"], data["known"]
-    names = [name for name in told["report"].get("fields", ()) if name in settings.FIELDS]
+    names = told["report"].get("fields", ())
     return Configuration(
         name=str(data["name"]),
         listen=split(data["listen"], 0),
@@ -85,7 +85,7 @@
         kinds=tuple(told.get("kinds", ())),
         plans={plan["name"]: place for place, plan in enumerate(listed)},
         abandon_times=tuple(round(plan["hardLimitMs"] * MS) for plan in listed),
-        report={name: settings.FIELDS[name] for name in names},
+        report={name: field for name, field in zip(names, fields, strict=True) if field},
         connect=round(allowed["connectTimeoutMs"] * MS),
         streams=max(1, int(allowed["streamsPerConn"])),
     )
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from itertools import pairwise
 from typing import Any
 
 from burlmast import api
@@ -54,6 +55,48 @@
         return nanoseconds(self.get(key, float, *default))
 
 
+def told(names: list[Any]) -> tuple[str | None, ...]:
+    """Which value of a load report stands at which place; one that ends at 1 only for want of another."""
+    both = "x0" in names and "cpu_share" in names
+    known = [name if isinstance(name, str) and not (both and name == "cpu_share") else "" for name in names]
+    return tuple(FIELDS.get(name) for name in known)
+
+
+def check(terms: api.Terms) -> None:
+    """Refuse figures that no rule could be kept with, or that mean nothing. Raises BadSetting."""
+    rungs, rules, lineup = terms.ladder.rates, terms.rules, terms.lineup
+    rises = all(low < high for low, high in pairwise(rungs))
+    sound = [
+        ("siblings", terms.gateways >= 1),
+        ("slotNo", 0 <= terms.number < terms.gateways),
+        ("tickMs", terms.beat > 0),
+        ("familyInfo.rungKb", bool(rungs) and rungs[0] > 0 and rises),
+        ("familyInfo.worthByRung", len(terms.ladder.earns) == len(rungs)),
+        ("familyInfo.cells", lineup.cells >= 1),
+        ("familyInfo.racks", lineup.racks >= 1),
+        ("familyInfo.kbPerWeight", lineup.link_per_weight > 0),
+        ("familyInfo.rackKb", lineup.uplink > 0),
+        ("familyInfo.kindStreams", all(streams > 0 for streams in lineup.streams_by_kind)),
+        ("familyInfo.classFloor", all(0 <= plan.floor < len(rungs) for plan in terms.plans)),
+        ("familyInfo.classTop", all(plan.floor <= plan.top for plan in terms.plans)),
+        ("familyInfo.classSeats", all(plan.seats >= 0 for plan in terms.plans)),
+        ("familyInfo.scaleByClass", all(plan.scale > 0 for plan in terms.plans)),
+        ("requestClasses[].goalTimeMs", all(plan.startup_target > 0 for plan in terms.plans)),
+        ("allowed.maxAttempts", terms.allowed.tries >= 1),
+        ("rules.coldFrom", 0 <= rules.cold_share <= 1),
+        ("rules.warmAfterMs", rules.warm_after >= 0),
+        ("rules.fallMultiple", rules.fall_multiple > 0),
+        ("rules.fallMs", rules.fall_span > 0),
+        ("rules.freeResends", (rules.further_free or 0.0) >= 0),
+        ("rules.resendRatio", 0 <= rules.further_ratio <= 1),
+        ("rules.ratioSpanMs", rules.further_span >= 0),
+        ("rules.askWithinMs", not terms.allowed.must_ask or terms.allowed.ask_within > 0),
+    ]
+    wrong = [name for name, holds in sound if not holds]
+    if wrong:
+        raise BadSetting(f"setting {wrong[0]} is out of range")
+
+
 def plans(sheet: Sheet, fam: Sheet) -> tuple[api.Plan, ...]:
     """The plans, each with its row of the family's lists."""
     listed = sheet.get("requestClasses", list)
@@ -137,14 +180,10 @@
             further_span=rules.span("ratioSpanMs", 0.0),
         ),
     )
-    names = report.get("fields", list, [])
-    return terms, tuple(FIELDS.get(name) if isinstance(name, str) else None for name in names)
+    check(terms)
+    return terms, told(report.get("fields", list, []))
 
 
 def load(fields: tuple[str | None, ...], values: tuple[float, ...]) -> api.Load:
-    """A load report by our names; of two figures for one thing the first counts."""
-    found: dict[str, float] = {}
-    for name, value in zip(fields, values, strict=False):
-        if name:
-            found.setdefault(name, value)
-    return api.Load(**found)
+    """A load report by our names."""
+    return api.Load(**{name: value for name, value in zip(fields, values, strict=False) if name})
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -13,7 +13,19 @@
 from typing import Any
 
 import pytest
-from platform_standin import EXTRAS, GIVEN, ID, Host, Line, Platform, answer, platform, release, until
+from platform_standin import (
+    EXTRAS,
+    GIVEN,
+    ID,
+    SETTINGS,
+    Host,
+    Line,
+    Platform,
+    answer,
+    platform,
+    release,
+    until,
+)  # fmt: skip
 
 from burlmast.node import frames
 from burlmast.node.frames import Frame, frame
@@ -427,6 +439,93 @@
     run(work, tmp_path)
 
 
+PAID = {
+    **SETTINGS,
+    "weights": "nominal",
+    "requestClasses": [
+        {"credit": 3.0, "goalTimeMs": 400.0, "hardLimitMs": 1500.0, "semantics": "once", "name": "lesson"},
+        {"credit": 1.0, "goalTimeMs": 400.0, "hardLimitMs": 1500.0, "semantics": "repeatable",
+         "name": "clip"},
+    ],
+    "familyInfo": {
+        **SETTINGS["familyInfo"], "classFloor": [1, 0], "classTop": [1, 1], "classSeats": [2, 0],
+        "classLive": [True, False], "scaleByClass": [1.2, 0.7], "stallCost": 7.0, "refusesFrom": 1.0,
+    },
+    "allowed": {**SETTINGS["allowed"], "probes": False},
+    "rules": {**SETTINGS["rules"], "freeResends": 1, "resendRatio": 0.0, "ratioSpanMs": 60000.0},
+    "report": {"source": "pull", "fields": ["cpu_share", "x1"]},
+}  # fmt: skip
+REFUSED = (34, 42, 102)  # trying again is harmless
+
+
+def test_the_process_keeps_floor_seats_paid_set_ups_and_budget(tmp_path: Path) -> None:
+    async def serve(one: Platform, line: Line) -> None:
+        async def ask(number: int, plan: str, key: str = "7f3a") -> dict[str, Any]:
+            line.set_up(f"{number:016x}", **{"class": plan, "key": key})
+            return await line.hear()
+
+        def tries(number: int) -> list[Frame]:
+            return [sent for host in one.hosts for sent in host.of(frames.SETUP) if sent.session == number]
+
+        # Seats: two of a title, and a third of another title alone; the rung is the floor or more.
+        assert [(await ask(number, "lesson"))["type"] for number in (1, 2)] == ["answer", "answer"]
+        assert all(tries(number)[0].parameters[frames.RUNG] == b"1" for number in (1, 2))
+        full = await ask(3, "lesson")
+        assert full["type"] == "release" and full["cause"] in REFUSED and not tries(3)
+        assert (await ask(4, "lesson", "7f3b"))["type"] == "answer"
+        line.say("release", f"{1:016x}")
+        await until(lambda: any(host.of(frames.RELEASE) for host in one.hosts))
+        assert (await ask(5, "lesson"))["type"] == "answer"
+        # A paid set-up that may have run is neither sent again nor refused.
+        for host in one.hosts:
+            host.does = lambda message: release(message.session, 41)
+        broken = await ask(6, "lesson", "7f3c")
+        assert broken["type"] == "release" and broken["cause"] not in REFUSED and len(tries(6)) == 1
+        # One that never ran is sent again, on the one further try of this minute; then none is left.
+        for host in one.hosts:
+            host.does = lambda message: release(message.session, 34)
+        turned = await ask(7, "lesson", "7f3d")
+        assert turned["cause"] in REFUSED and len(tries(7)) == 2
+        assert (await ask(8, "clip"))["cause"] in REFUSED and len(tries(8)) == 1
+        assert not any(host.of(frames.PING) for host in one.hosts), "no probes are allowed here"
+
+    async def whole() -> None:
+        async with platform(tmp_path, settings=PAID) as one:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "burlmast.node"],
+                stderr=subprocess.PIPE, env={**os.environ, "ROUTER_CONFIG": str(one.path)},
+            )  # fmt: skip
+            try:
+                assert process.stderr is not None
+                said = await asyncio.to_thread(process.stderr.readline)
+                port = int(said.rpartition(b":")[2])
+                line = Line(*await asyncio.open_connection("127.0.0.1", port))
+                await serve(one, line)
+                line.writer.close()
+            finally:
+                process.kill()
+                process.wait()
+
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize("figures", [{"classSeats": [-1, 0]}, {"classFloor": [5, 0]}])
+def test_bad_figures_end_the_process_with_one_line(tmp_path: Path, figures: dict[str, list[int]]) -> None:
+    async def write() -> None:
+        family = {**PAID["familyInfo"], **figures}
+        async with platform(tmp_path) as one:
+            one.changes["settings"] = {**PAID, "familyInfo": family}
+            one.write(9)
+
+    asyncio.run(write())
+    bad = subprocess.run(
+        [sys.executable, "-m", "burlmast.node"], capture_output=True, timeout=20, check=False,
+        env={**os.environ, "ROUTER_CONFIG": str(tmp_path / "config.json")},
+    )  # fmt: skip
+    assert bad.returncode == 2 and bad.stderr.count(b"\n") == 1
+    assert next(iter(figures)).encode() in bad.stderr
+
+
 def test_the_process_serves_through_its_signals_and_names_what_is_wrong(tmp_path: Path) -> None:
     def start(**variables: str) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -7,6 +7,11 @@
 import subprocess
 import sys
 
+import pytest
+
+from burlmast import api
+from burlmast.wirehost import settings
+
 SETTINGS = {
     "siblings": 1,
     "slotNo": 0,
@@ -81,9 +86,45 @@
         assert done.returncode == 0 and done.stdout[12] == 10 and b"slotNo" in done.stdout
 
 
+@pytest.mark.parametrize(
+    ("part", "figures"),
+    [
+        ("familyInfo", {"classSeats": [-1]}),
+        ("familyInfo", {"classFloor": [2]}),
+        ("familyInfo", {"classFloor": [1], "classTop": [0]}),
+        ("familyInfo", {"rungKb": [400.0, 200.0]}),
+        ("familyInfo", {"worthByRung": [1.0]}),
+        ("familyInfo", {"scaleByClass": [0.0]}),
+        ("rules", {"resendRatio": 1.5, "ratioSpanMs": 5000.0}),
+        ("rules", {"freeResends": -1, "ratioSpanMs": 5000.0}),
+        ("rules", {"coldFrom": float("nan")}),
+        ("rules", {"fallMultiple": 0}),
+        ("allowed", {"maxAttempts": 0}),
+    ],
+)
+def test_figures_that_no_rule_can_be_kept_with_are_named(part: str, figures: dict[str, object]) -> None:
+    broken = {**SETTINGS, part: {**SETTINGS[part], **figures}}  # type: ignore[dict-item]
+    with pytest.raises(settings.BadSetting) as why:
+        settings.read(json.dumps(broken).encode())
+    assert any(name in str(why.value) for name in figures) and "\n" not in str(why.value)
+
+
+def test_a_list_that_has_to_be_asked_for_needs_its_time() -> None:
+    with pytest.raises(settings.BadSetting, match="askWithinMs"):
+        settings.read(json.dumps({**SETTINGS, "discovery": "subscribe"}).encode())
+
+
+def test_a_share_that_ends_at_one_counts_only_where_no_other_is_told() -> None:
+    both = {**SETTINGS, "report": {"source": "pull", "fields": ["cpu_share", "pending", "x0", "x1"]}}
+    _, fields = settings.read(json.dumps(both).encode())
+    assert settings.load(fields, (1.0, 3.0, 1.4, 0.5)) == api.Load(None, 1.4, 0.5)
+    alone = {**SETTINGS, "report": {"source": "pull", "fields": ["cpu_share"]}}
+    assert settings.load(settings.read(json.dumps(alone).encode())[1], (0.7,)) == api.Load(None, 0.7, None)
+
+
 def test_a_failure_of_the_decisions_is_a_bug_with_its_text() -> None:
-    family = {**SETTINGS["familyInfo"], "rungKb": [], "worthByRung": []}  # type: ignore[dict-item]
+    family = {**SETTINGS["familyInfo"], "rungKb": [200.0, 10**400]}  # type: ignore[dict-item]
     start = batch(1, 5e4, attach({**SETTINGS, "familyInfo": family}), pool((70, 0)), MEMBERS)
     done = run(start + batch(2, 6e4, accept(41)))
     _, _, size = struct.unpack_from("<III", done.stdout)
-    assert done.returncode == 0 and b"IndexError" in done.stdout[12 + size :]
+    assert done.returncode == 0 and b"OverflowError" in done.stdout[12 + size :]
