Others' requests for a room count between all and each its own holder

Change: the part of the hosts that hold a title counts by the square root of the holders: between all requests going to one of them and each to its own.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -157,7 +157,7 @@
         self.parts: deque[float] = deque(maxlen=WINDOW)  # what links were lately said to carry, over the size
         self.counted = False  # hosts tell how many streams they run
         self.crowds: deque[float] = deque(maxlen=WINDOW)  # streams that hosts lately said they run
-        self.arrivals: deque[tuple[int, float]] = deque(maxlen=WINDOW)  # when, holders' part of all hosts
+        self.arrivals: deque[tuple[int, float]] = deque(maxlen=WINDOW)  # when, part of others there
         self.usual: tuple[float, int, float, list[int]] | None = (
             None  # what `alike` makes of the samples, this event
         )
@@ -230,7 +230,8 @@
             return
         pb = Playback(now, request, self.terms.plans[request.plan], self.terms.ladder)
         self.playbacks[pb.id] = pb
-        self.arrivals.append((now, len(self.holders(request)) / max(1, len(self.hosts))))
+        # Between all others' requests for a title going to one of its holders, and each to one of its own.
+        self.arrivals.append((now, len(self.holders(request)) ** 0.5 / max(1, len(self.hosts))))
         self.usual = None
         if self.terms.rules.further_free is not None:
             self.forget(now)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -323,3 +323,16 @@
     assert (
         ages[0] == pytest.approx(12 * ((0.16 + 1.2 * 23 / 90) ** 0.5 - 0.4) / 0.6, rel=0.01) and ages[1] == 0
     )
+
+
+def test_where_every_host_holds_a_title_others_do_not_all_want_the_same_room() -> None:
+    rungs = []
+    for copies in (4, 100):
+        desk = Desk(hosts=0, gateways=100, lineup=replace(TERMS.lineup, cells=100, racks=100))
+        desk.listed(*(row(host, cell=host) for host in range(100)), scope=Scope.COMPLETE)
+        desk.gateway.crowds.extend([30.0] * 20)
+        for pb in range(20):
+            desk.now += 2 * SECOND
+            actions = desk.take(api.Arrived(Request(pb, 0, 3.0, 0, copies, pb, pb, 3 * SECOND)))
+        rungs.append(sum(step.rung for step in of(actions, api.SetRung)))
+    assert rungs[1] > 0 and rungs[0] >= rungs[1]
