--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -499,7 +499,7 @@
 
     def at_the_brim(self, now: int, host: Host) -> bool:
         """Told short, where a missing point costs more than one: one more there loses more than it earns."""
-        pipes = (host.link, host.rack.uplink)
+        pipes = (host.link, host.rack.uplink) if host.rack.reports else (host.link,)
         told = [pipe.asked[1] for pipe in pipes if pipe.asked and now - pipe.asked[0] < FRESH]
         short = max(told, default=0.0) * SHORT > 1 or self.share(now, host) < SHORT
         return short and self.terms.lineup.stall * SHORT > 1
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -336,3 +336,18 @@
             actions = desk.take(api.Arrived(Request(pb, 0, 3.0, 0, copies, pb, pb, 3 * SECOND)))
         rungs.append(sum(step.rung for step in of(actions, api.SetRung)))
     assert rungs[1] > 0 and rungs[0] >= rungs[1]
+
+
+def test_an_uplink_that_is_only_inferred_turns_nobody_away() -> None:
+    desk = Desk(hosts=3, lineup=replace(TERMS.lineup, racks=1, stall=7.0))
+    for host in (0, 1):
+        desk.play(host, host)
+        desk.take(api.Note(host, 0, host, News.LINK, 0.3))
+        desk.take(api.Note(host, 0, host, News.SHARE, 0.8))
+    desk.tick()
+    assert desk.gateway.hosts[0].rack.uplink.asked[1] > 1
+    for host in (0, 1):
+        desk.take(api.Note(host, 0, host, News.SHARE, 1.0))
+    assert of(desk.ask(10), api.SetUp)
+    desk.take(api.Note(0, 0, 0, News.UPLINK, 1.2))
+    assert of(desk.ask(11), api.Reject)
