After a start a gateway takes its turns at once; only equal shares wait for a span

Gateway.pace_allows sent nothing in the first span of a life (3.05 s there), for what an earlier life may have spent. That holds for an equal share; a turn is a moment of its own, and the next life can take none that is over.

Change: in the first span a gateway has no share, and takes a turn only if the turn began after it did.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -420,14 +420,15 @@
         lately = sum(1 for at in host.sent if now - at < span)
         if host.presumed and host.settled and not host.fell and not lately and self.few(now, host):
             return True
-        # Danger: an earlier life of this gateway may have spent the share of this span already.
-        if now - self.began < span:
-            return False
         share, rest = divmod(int(budget), self.terms.gateways) if budget >= 1 else (0, 0)
         # What equal shares leave goes round in turns, a set-up each, so short that a span touches no more of
         # them than are left; where only one is, a whole span passes before the next.
-        turn, into = divmod(now // (span // 4), 5) if rest < 2 else (now // (span // (rest - 1)), 0)
+        length = span // 4 if rest < 2 else span // (rest - 1)
+        turn, into = divmod(now // length, 5) if rest < 2 else (now // length, 0)
         mine = rest and not into and (self.terms.number - turn - host.id) % self.terms.gateways == 0
+        if now - self.began < span:
+            # Danger: an earlier life of this gateway may have spent the share of this span, or this turn.
+            share, mine = 0, mine and now % length < now - self.began
         return lately < share + bool(mine)
 
     def few(self, now: int, host: Host) -> bool:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -351,3 +351,20 @@
     assert of(desk.ask(10), api.SetUp)
     desk.take(api.Note(0, 0, 0, News.UPLINK, 1.2))
     assert of(desk.ask(11), api.Reject)
+
+
+def test_after_a_start_turns_are_taken_at_once_and_never_twice_by_two_lives() -> None:
+    sent = 0
+    for number in range(20):
+        desk = Desk(hosts=0, gateways=20, number=number)
+        desk.listed(row(0), scope=Scope.CACHED)
+        for beat in range(40):
+            desk.now += SECOND // 20
+            if of(desk.ask(beat), api.SetUp):
+                sent += 1
+                again = Desk(hosts=0, gateways=20, number=number)
+                again.now = desk.now
+                again.gateway.began = desk.now
+                again.listed(row(0), scope=Scope.CACHED)
+                assert not of(again.ask(99), api.SetUp)  # the same turn, in its next life
+    assert 3 <= sent <= 6  # a span's budget of 6, a set-up a turn
