Hosts that have long been gone are forgotten by the decisions

Change: a host that the list called gone a whole warm time ago, at which nothing plays and that owes no answer, is taken out. Not sooner, since one that fell would come back without the failure that makes it cold.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -36,6 +36,7 @@
 FRESH = 5 * SECOND  # what a host told counts so long as news; hosts repeat a short share each second
 MARGIN = 2  # the pace over what a host is usually asked for, for chance and for crowds
 IN_A_ROW = 2  # failures that set a host aside, answers to probes that bring it back
+LATER = 2**63  # later than any moment
 TICK_TOKEN, ASK_TOKEN, PB_TOKEN = 0, 1, 2
 
 NEVER_RAN = frozenset((Ending.FULL, Ending.NO_CONNECTION, Ending.MOOT))
@@ -110,6 +111,7 @@
         self.in_a_row = 0  # failures, or, set aside, answers to probes
         self.probing = False
         self.askers: list[Playback] = []  # those who wait for its answer
+        self.left = LATER  # when the list first called it gone
         self.full = -QUIET  # when it last turned a setup try away
         self.streams: tuple[int, float] = (-QUIET, 0.0)  # when told, what ran there
         self.share: tuple[int, float] | None = None  # when the note came, the share
@@ -214,6 +216,11 @@
             for host in self.hosts.values():
                 if host.id not in named:
                     host.row = host.row._replace(standing=Standing.GONE)
+        for host in list(self.hosts.values()):
+            host.left = min(host.left, now) if host.row.standing is Standing.GONE else LATER
+            # Danger: what is forgotten too early comes back without the failure that made it cold.
+            if now - host.left >= self.terms.rules.warm_after and not (host.playbacks or host.probing):
+                self.part_with(host)
         # Where weights tell nothing of size, kinds are compared by the streams they run.
         ready = [host for host in self.hosts.values() if host.row.standing is Standing.READY]
         mean = sum(host.places for host in ready) / max(1, len(ready))
@@ -221,6 +228,12 @@
             weight = host.row.weight if lineup.weights_tell_size else host.places / (mean or 1.0)
             host.link.size = lineup.link_per_weight * weight
 
+    def part_with(self, host: Host) -> None:
+        del self.hosts[host.id]
+        for those in (host.rack.hosts, *self.cells.values()):
+            if host in those:
+                those.remove(host)
+
     def arrived(self, now: int, event: api.Arrived) -> None:
         request = event.request
         if request.pb in self.playbacks:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -368,3 +368,25 @@
                 again.listed(row(0), scope=Scope.CACHED)
                 assert not of(again.ask(99), api.SetUp)  # the same turn, in its next life
     assert 3 <= sent <= 6  # a span's budget of 6, a set-up a turn
+
+
+def test_hosts_long_gone_are_forgotten_and_those_that_play_or_may_be_cold_are_not() -> None:
+    desk = Desk(hosts=4)
+    desk.play(1, 0)
+    for host in range(4):
+        desk.listed(row(host, standing=Standing.GONE))
+    desk.listed(row(3))
+    assert len(desk.gateway.hosts) == 4
+    desk.now += TERMS.rules.warm_after
+    desk.listed(row(3))
+    assert sorted(desk.gateway.hosts) == [0, 3] and len(desk.gateway.cells[1]) == 0
+    assert sum(len(rack.hosts) for rack in desk.gateway.racks) == 2
+    desk.end(1, 0, 0, Ending.BROKEN, final=True)
+    desk.listed(row(3))
+    assert sorted(desk.gateway.hosts) == [3]
+    desk.listed(row(1, started=desk.now))
+    assert desk.gateway.hosts[1] in desk.gateway.cells[1]
+    for host in range(100, 300):  # a day of releases
+        desk.now += SECOND
+        desk.listed(row(host, started=desk.now), row(host - 2, host % 4, Standing.GONE))
+    assert len(desk.gateway.hosts) < 30
