The last of the further-try budget is kept for the plans that earn most

Change: where the budget holds two or more, only the plans that earn most may spend the last. Tests of the hard cases of paid plans, seats beyond the limit after a start, floors and steps, and the budget.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -457,7 +457,10 @@
             return False
         if pb.tries and rules.further_free is not None:
             self.forget(now)
-            if len(self.further) + 1 > rules.further_free + rules.further_ratio * len(self.requests):
+            left = rules.further_free + rules.further_ratio * len(self.requests) - len(self.further)
+            # Danger: what is spent on a cheap playback lacks for a dear one a moment later.
+            dear = plan.revenue >= max(one.revenue for one in self.terms.plans)
+            if left < 1 or (left < 2 and not dear and rules.further_free >= 2):
                 return False
         if plan.seats <= 0:  # most plans have none, and a gateway may hold thousands of playbacks
             return True
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -99,7 +99,15 @@
 
 @pytest.mark.parametrize(
     ("ending", "answer"),
-    [(Ending.ERROR, api.Abort), (Ending.TIMEOUT, api.Abort), (Ending.FULL, api.SetUp)],
+    [
+        (Ending.ERROR, api.Abort),
+        (Ending.TIMEOUT, api.Abort),
+        (Ending.BROKEN, api.Abort),
+        (Ending.CALLED_OFF, api.Abort),
+        (Ending.FULL, api.SetUp),
+        (Ending.MOOT, api.SetUp),
+        (Ending.NO_CONNECTION, api.SetUp),
+    ],
 )
 def test_unsafe_plan_goes_on_only_when_nothing_can_have_run(ending: Ending, answer: type) -> None:
     desk = Desk(plans=(replace(PLAN, repeat=Repeat.NEVER),))
@@ -390,3 +398,53 @@
         desk.now += SECOND
         desk.listed(row(host, started=desk.now), row(host - 2, host % 4, Standing.GONE))
     assert len(desk.gateway.hosts) < 30
+
+
+def test_a_paid_playback_whose_answer_is_lost_is_aborted_in_time_and_never_rejected() -> None:
+    desk = Desk(plans=(replace(PLAN, repeat=Repeat.NEVER),))
+    bell = of(desk.ask(1), api.SetAlarm)[0]
+    actions = desk.take(api.Bell(bell.token), after=bell.after)
+    assert of(actions, api.CallOff) and of(actions, api.Abort) and not of(actions, api.Reject)
+    assert bell.after < 3 * SECOND and desk.end(1, 0, 0, Ending.CALLED_OFF) == []
+
+
+def test_seats_count_what_was_handed_over_and_what_is_out_until_it_ends() -> None:
+    desk = Desk(plans=(replace(PLAN, seats=2),))
+    for pb in range(3):  # an earlier life left more than the limit
+        desk.play(pb, pb)
+    assert of(desk.ask(10), api.Reject) and of(desk.ask(11, title=2), api.SetUp)
+    for pb, taken in ((0, True), (1, False)):
+        desk.end(pb, 0, pb, Ending.SERVED, final=True)
+        assert bool(of(desk.ask(20 + pb), api.Reject)) == taken
+    assert of(desk.ask(30), api.Reject)  # 2 plays and 21 is out
+    host = next(host for host in desk.gateway.hosts.values() if 21 in host.playbacks).id
+    desk.take(api.ViewerLeft(21))
+    assert of(desk.ask(31), api.Reject)  # its try may yet come up
+    desk.end(21, 0, host, Ending.CALLED_OFF, final=True)
+    assert of(desk.ask(32), api.SetUp)
+
+
+def test_no_step_goes_under_the_floor_and_without_room_the_floor_is_tried() -> None:
+    desk = Desk(hosts=1, plans=(replace(PLAN, floor=1),))
+    for pb in range(4):
+        desk.play(pb, 0, rung=1)
+    for _ in range(4):
+        desk.take(api.Note(0, 0, 0, News.SHARE, 0.2), after=SECOND)
+        assert not of(desk.tick(after=TICK), api.SetRung)
+    actions = desk.ask(10)
+    assert of(actions, api.SetUp) and not of(actions, api.SetRung)
+    assert desk.gateway.playbacks[10].rung == 1
+
+
+def test_the_last_of_the_budget_is_kept_for_what_earns_most() -> None:
+    rules = replace(TERMS.rules, further_free=2.0, further_ratio=0.0, further_span=5 * SECOND)
+    desk = Desk(plans=(PLAN, replace(PLAN, revenue=3.0, repeat=Repeat.NEVER)), rules=rules)
+
+    def again(pb: int, plan: int) -> bool:
+        host = of(desk.ask(pb, plan), api.SetUp)[0].host
+        return bool(of(desk.end(pb, 0, host, Ending.FULL), api.SetUp))
+
+    assert again(1, 0) and not again(2, 0)
+    assert again(3, 1) and not again(4, 1)
+    desk.now += 6 * SECOND
+    assert again(5, 0)
