--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -114,13 +114,12 @@
     def hand_over(self, number: int) -> None:
         plan, host = self.dice.randrange(len(self.terms.plans)), self.dice.randrange(8)
         title = self.next_pb % 3
-        held = [k for k in self.asked if k[0] == number and self.asked[k][0][1:6:4] == (plan, title)]
-        if not self.terms.plans[plan].seats or len(held) < self.terms.plans[plan].seats:
-            request = Request(self.next_pb, plan, 3.0, 0, 4, title, 1, SECOND)
-            self.asked[number, request.pb] = request, self.now
-            self.tries[number, request.pb] = [Try(host, self.now, self.now)]
-            self.tries[number, request.pb][0].flows = True
-            self.hand(number, api.HandedOver(request, host))
+        # More than the seats, too: an earlier life may have left them.
+        request = Request(self.next_pb, plan, 3.0, 0, 4, title, 1, SECOND)
+        self.asked[number, request.pb] = request, self.now
+        self.tries[number, request.pb] = [Try(host, self.now, self.now)]
+        self.tries[number, request.pb][0].flows = True
+        self.hand(number, api.HandedOver(request, host))
         self.next_pb += 1
 
     def hand(self, number: int, event: api.Event) -> None:
@@ -215,10 +214,26 @@
                 self.outcome(key, self.tries[key][-1])
         if dice.random() < 0.004:
             self.trouble()
+        if dice.random() < 0.02:
+            self.leave()
         for key, (_, deadline) in self.asked.items():
             flows = self.tries[key] and self.tries[key][-1].flows
             assert key in self.answered or flows or self.now <= deadline + 4 * BEAT, "rule 1: no answer"
 
+    def leave(self) -> None:
+        """A viewer gives up; its tries end later all the same."""
+        waits = [
+            key
+            for key in self.asked
+            if key not in self.answered and not any(t.flows for t in self.tries[key])
+        ]
+        if waits:
+            key = self.dice.choice(waits)
+            self.answered[key] = self.now  # nothing is owed, and nothing may be said
+            for one in self.tries[key]:
+                one.due = min(one.due, self.now + self.dice.randint(1, 100) * MS)
+            self.hand(key[0], api.ViewerLeft(key[1]))
+
     def arrive(self, number: int) -> None:
         plan = self.dice.randrange(len(self.terms.plans))
         patience = self.dice.choice((5 * MS, 300 * MS, 3 * SECOND))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -448,3 +448,14 @@
     assert again(3, 1) and not again(4, 1)
     desk.now += 6 * SECOND
     assert again(5, 0)
+
+
+def test_without_probes_a_host_set_aside_comes_back_after_two_ticks() -> None:
+    desk = Desk(hosts=2, allowed=replace(TERMS.allowed, tries=1, probes=False))
+    desk.play(0, 1, rung=3)
+    for pb in (10, 11):
+        desk.end(pb, 0, of(desk.ask(pb), api.SetUp)[0].host, Ending.ERROR)
+    assert of(desk.ask(12), api.SetUp)[0].host == 1
+    assert not of(desk.tick(), api.Probe) and desk.gateway.hosts[0].state == "aside"
+    desk.tick(after=TICK)
+    assert of(desk.ask(13), api.SetUp)[0].host == 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,10 +6,10 @@
 from dataclasses import replace
 
 import pytest
-from helpers import PLAN, SECOND, TERMS, Model
+from helpers import BEAT, PLAN, SECOND, TERMS, Model, Try, row
 
 from burlmast import api
-from burlmast.api import Repeat
+from burlmast.api import Ending, Repeat
 
 
 def drawn(seed: int) -> api.Terms:
@@ -47,3 +47,59 @@
     for _ in range(3000):
         model.beat()
     assert model.sent > 50 and model.finals > 50  # the day had something to decide
+
+
+class Pairs(Model):
+    """A fleet in which some of three troubles go on all the time."""
+
+    def __init__(self, seed: int, terms: api.Terms, troubles: tuple[str, ...]) -> None:
+        self.troubles, self.beats, self.lost = troubles, 0, set[tuple[int, int]]()
+        super().__init__(seed, terms)
+
+    def beat(self) -> None:
+        self.beats += 1
+        if "deploy" in self.troubles and self.beats % 70 == 0:
+            self.restart((self.beats // 70) % 8)
+        if "killed" in self.troubles and self.beats % 400 == 0:
+            for number in range(0, self.terms.gateways, 2):
+                self.start(number, dict.fromkeys(range(8), 0))
+        super().beat()
+
+    def restart(self, host: int) -> None:
+        """One host after the other; what plays there is cut, and half of the gateways are told."""
+        self.started[host] = self.now
+        for number, pb in [key for key in self.tries if self.tries[key] and self.tries[key][-1].host == host]:
+            one = self.tries[number, pb][-1]
+            if one.ending is None and "lost" not in self.troubles:
+                one.ending = Ending.BROKEN
+                self.knows[number, host] = self.now
+                over = one.flows or (number, pb) in self.answered
+                place = len(self.tries[number, pb]) - 1
+                self.hand(number, api.Ended(pb, place, host, Ending.BROKEN, 0, over, api.Load()))
+        for number in range(0, self.terms.gateways, 2):
+            self.knows[number, host] = self.now
+            self.told.pop((number, host), None)
+            self.hand(number, api.Listed(api.Scope.CHANGES, (row(host, started=self.now),)))
+
+    def outcome(self, key: tuple[int, int], one: Try) -> None:
+        if (
+            "lost" in self.troubles
+            and not one.flows
+            and one.sent == self.now - BEAT
+            and self.dice.random() < 0.3
+        ):
+            self.lost.add((key[1], one.sent))
+        if (key[1], one.sent) not in self.lost or self.now >= one.due:
+            super().outcome(key, one)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize(
+    "troubles",
+    [("deploy",), ("killed",), ("lost",), ("deploy", "killed"), ("deploy", "lost"), ("killed", "lost")],
+)
+def test_rules_hold_through_troubles_alone_and_in_pairs(seed: int, troubles: tuple[str, ...]) -> None:
+    model = Pairs(seed, drawn(1000 + seed), troubles)
+    for _ in range(1500):
+        model.beat()
+    assert model.sent > 20 and model.finals > 20
