Asking goes on only where hosts tell their load on probes alone; proof of age for the pace

Change: one question a request where hosts tell in answers too; asking on for a quarter of the startup target where they tell on probes alone. What a host runs proves its age for the pace; its link counts as cold as before.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -107,6 +107,7 @@
         self.risen = 0  # the latest moment at which it may have started, as far as is known
         self.presumed = False  # that it may have risen lately is known only from how old our list may be
         self.settled = False  # it has told since our start that it runs as much as others do
+        self.proven = LATER  # what it runs shows that it has risen before
         self.fell = False  # it failed in a way that a restart explains, and has not served since
         self.in_a_row = 0  # failures, or, set aside, answers to probes
         self.probing = False
@@ -365,7 +366,7 @@
             rules, cold = self.terms.rules, min(self.terms.rules.cold_share, 0.99)
             part = max(0.0, streams - self.pace(host)[1]) / max(1.0, rules.fall_multiple * host.places)
             age = ((cold**2 + 2 * (1 - cold) * part) ** 0.5 - cold) / (1 - cold) * rules.warm_after
-            host.risen = max(host.row.started, min(host.risen, now - int(age)))
+            host.proven = max(host.row.started, min(host.proven, now - int(age)))
         # Danger: a newcomer is empty, and all of us would prefer it; what runs as much as others do is none.
         host.settled = host.settled or streams >= max(1.0, median(self.crowds) / 2)
 
@@ -427,7 +428,8 @@
 
     def pace_allows(self, now: int, host: Host) -> bool:
         """Mechanism 3."""
-        if not host.fell and now - host.risen >= self.terms.rules.warm_after:
+        risen = min(host.risen, host.proven) if host.presumed else host.risen
+        if not host.fell and now - risen >= self.terms.rules.warm_after:
             return True
         span, budget = self.pace(host)
         lately = sum(1 for at in host.sent if now - at < span)
@@ -494,8 +496,10 @@
         holders = self.holders(pb.request) if self.may_try(now, pb) else ()
         able = [host for host in holders if self.may_send(now, pb, host)]
         paced = [host for host in able if self.pace_allows(now, host)]
-        # Danger: asking holder after holder takes time, and a silent one an eighth of the target.
-        early = not pb.tries and now < pb.arrived + pb.plan.startup_target // 4
+        # Danger: asking holder after holder takes time, and a silent one an eighth of the target. Hosts that
+        # tell in answers too are asked once: what all holders tell at a start fills uplinks untold.
+        early = now < pb.arrived + (pb.plan.startup_target // 4 if not self.terms.lineup.reports else 0)
+        early = not pb.tries and (early or not pb.asked)
         # Danger: after a start all hosts are unsure, and probes beyond what a host takes count as failures.
         unsure = [
             one for one in able if one.presumed and one.streams[0] < self.began and self.stale(now, one)
