--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -372,11 +372,15 @@
 
     # The account.
 
+    def seen(self, now: int) -> int:
+        """Over how long the arrivals that are kept have come."""
+        return now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
+
     def alike(self, now: int, span: int) -> float:
         """How many gateways, this one too, do in such a span what this one does."""
         if self.usual is None:  # asked for each link that is looked at
             crowd = min(self.terms.gateways, 1 + median(self.crowds)) if self.crowds else self.terms.gateways
-            since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
+            since = self.seen(now)
             holding = (
                 sum(part for _, part in self.arrivals) / max(1, len(self.arrivals)) * self.terms.gateways
             )
@@ -449,7 +453,7 @@
     def few(self, now: int, host: Host) -> bool:
         """All gateways together ask a usual host far less than this one could take if it were cold."""
         span, budget = self.pace(host)
-        since = now - (self.arrivals[0][0] if len(self.arrivals) == WINDOW else self.began)
+        since = self.seen(now)
         mine = len(self.arrivals) * span / max(since, 1)
         return MARGIN * mine * self.terms.gateways / max(1, len(self.hosts)) <= budget
 
