--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import logging
-import signal
 import sys
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -16,28 +15,15 @@
 import msgspec
 import structlog
 
-from burlmast.settings.read import BadSettings, evaluate, read
+from burlmast.commands.fleet import desk, fleet
+from burlmast.commands.shared import PLACE, say, settings, until_interrupted
+from burlmast.settings.read import BadSettings, evaluate
 from burlmast.settings.sheets import Deployment
 from burlmast.world.troubles import Day
 
 SAMPLE = "deploy/samples/training.jsonnet"
 
 
-def say(value: object) -> None:
-    """One JSON line."""
-    click.echo(msgspec.json.encode(value).decode("utf-8"))
-    sys.stdout.flush()
-
-
-def settings(file: str) -> Deployment:
-    """Read settings, or end with 2 and one line."""
-    try:
-        return read(file)
-    except BadSettings as why:
-        click.echo(str(why), err=True)
-        raise SystemExit(2) from None
-
-
 def log_to_stderr(form: str, level: str) -> None:
     """Send log lines to standard error, as JSON lines or for a console."""
     last: Any = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer()
@@ -55,25 +41,6 @@
     )
 
 
-class Place(click.ParamType[tuple[str, int]]):
-    """`name:port`, port 0 for any that is free."""
-
-    name = "name:port"
-
-    def convert(
-        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
-    ) -> tuple[str, int]:
-        if isinstance(value, tuple):
-            return value
-        name, _, port = str(value).removeprefix("http://").rstrip("/").rpartition(":")
-        if not name or not port.isdecimal() or int(port) > 65535:
-            self.fail(f"{value!r} is not name:port", param, ctx)
-        return name, int(port)
-
-
-PLACE = Place()
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.option("--log", "form", type=click.Choice(["json", "console"]), default="json", show_default=True)
 @click.option(
@@ -108,6 +75,11 @@
 @click.option(
     "--state", type=click.Path(file_okay=False), default=None, help="A folder; with it notices are stitched."
 )
+@click.option(
+    "--fleet", "desks", type=PLACE, multiple=True, help="A desk of its fleet; repeat, in their order."
+)
+@click.option("--ahead", type=float, default=0.0, hidden=True)
+@click.option("--speed", type=float, default=1.0, hidden=True)
 def edge(
     file: str,
     number: int,
@@ -118,9 +90,14 @@
     seed: int | None,
     plant: int | None,
     state: str | None,
+    desks: tuple[tuple[str, int], ...],
+    ahead: float,
+    speed: float,
 ) -> None:
     """Run one gateway until SIGTERM."""
-    from burlmast.edge.program import run
+    from burlmast.edge.program import Program, run
+    from burlmast.edge.together import Alone, Together
+    from burlmast.fleet.ledger_shell import FolderInUse
     from burlmast.logic import Gateway
     from burlmast.stitch.store import StoreFault
     from burlmast.world.plants import plant as planted
@@ -128,12 +105,19 @@
     deployment = settings(file)
     if number >= deployment.gateways:
         raise click.UsageError(f"--number must be under the {deployment.gateways} gateways of the settings")
+    if desks and not state:
+        raise click.UsageError("--fleet needs --state, a folder for the ledger")
     maker = planted(plant, Gateway) if plant else Gateway
     try:
         folder = Path(state) if state else None
+        together: Callable[[Program], Together] = Alone.of
+        if desks and folder is not None:
+            from burlmast.fleet.join import joining
+
+            deployment, together = joining(deployment, number, folder, desks, ahead, speed)
         listens = (list_address, listen, operators)
-        code = asyncio.run(run(deployment, number, *listens, say, maker, zone, seed, folder))
-    except StoreFault as why:
+        code = asyncio.run(run(deployment, number, *listens, say, maker, zone, seed, folder, together))
+    except (StoreFault, FolderInUse) as why:
         click.echo(f"edge: {why}", err=True)
         raise SystemExit(1) from None
     except OSError as why:
@@ -142,14 +126,6 @@
     raise SystemExit(code)
 
 
-async def until_interrupted() -> None:
-    """Return at SIGINT or SIGTERM."""
-    done = asyncio.Event()
-    for one in (signal.SIGINT, signal.SIGTERM):
-        asyncio.get_running_loop().add_signal_handler(one, done.set)
-    await done.wait()
-
-
 @main.command()
 @click.option("--settings", "file", type=click.Path(), default=SAMPLE, show_default=True)
 @click.option(
@@ -588,3 +564,7 @@
         code = code if status == 200 else 1
     pool.close()
     return code
+
+
+main.add_command(desk)
+main.add_command(fleet)
--- /dev/null
+++ b/burlmast/commands/fleet.py
@@ -0,0 +1,234 @@
+"""`burlmast desk` and `burlmast fleet`: the control processes and what operators ask of them."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import sqlite3
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from burlmast.commands.shared import PLACE, say, settings, until_interrupted
+from burlmast.fleet.orders import Book, Order
+from burlmast.fleet.words import Begin, Status, Wanted
+from burlmast.http1.client import Address, Pool, Whole
+
+JSON = ((b"content-type", b"application/json"),)
+DESKS = click.option(
+    "--desk", "desks", type=PLACE, multiple=True, required=True, help="A desk; repeat, in their order."
+)
+
+
+@click.command()
+@click.option("--settings", "file", type=click.Path(), required=True)
+@click.option("--number", type=click.IntRange(0), default=0, show_default=True, help="This desk among all.")
+@click.option("--listen", type=PLACE, default="127.0.0.1:0", show_default=True)
+@click.option(
+    "--desk", "desks", type=PLACE, multiple=True, help="All desks in their order, this one among them."
+)
+@click.option("--state", type=click.Path(file_okay=False), required=True, help="A folder for its disk.")
+@click.option("--begin", is_flag=True, help="A fleet begins with this one desk, if its disk is blank.")
+@click.option("--ahead", type=float, default=0.0, hidden=True)
+@click.option("--speed", type=float, default=1.0, hidden=True)
+def desk(
+    file: str,
+    number: int,
+    listen: Address,
+    desks: tuple[Address, ...],
+    state: str,
+    begin: bool,
+    ahead: float,
+    speed: float,
+) -> None:
+    """Run one desk until SIGTERM: it holds orders, gives leases and gathers ledgers. No gateway waits for
+    it."""
+    from burlmast.fleet.clock_shell import Clocks
+    from burlmast.fleet.desk_shell import run
+
+    deployment = settings(file)
+    all_desks: list[Address | None] = [*desks] or [None]
+    if number >= len(all_desks):
+        raise click.UsageError(f"--number must be under the {len(all_desks)} desks named by --desk")
+    if len(all_desks) % 2 == 0:
+        raise click.UsageError("an even number of desks bears no more than one less; name 1, 3 or 5")
+    if begin and len(all_desks) > 1:
+        raise click.UsageError("with several desks a fleet begins by `burlmast fleet begin`")
+    clocks = Clocks(ahead, speed)
+    try:
+        work = run(deployment, number, all_desks, listen, Path(state), clocks, begin, say, until_interrupted)
+        raise SystemExit(asyncio.run(work))
+    except (OSError, sqlite3.Error) as why:
+        click.echo(f"desk: {why}", err=True)
+        raise SystemExit(1) from None
+
+
+@click.group()
+def fleet() -> None:
+    """Who acts on which version, orders, and the audit."""
+
+
+def ask(work: Callable[[Pool], Awaitable[Any]]) -> Any:
+    """Run something that asks desks; ends with 1 and one line where none answers."""
+
+    async def run() -> Any:
+        pool = Pool()
+        try:
+            return await work(pool)
+        finally:
+            pool.close()
+
+    return asyncio.run(run())
+
+
+async def call(
+    pool: Pool, address: Address, path: str, body: bytes | None = None, within: float = 20.0
+) -> tuple[int, bytes]:
+    """One call; status 0 where nothing answered."""
+    method = b"GET" if body is None else b"POST"
+    try:
+        status, _, told = await Whole.of(pool, address, method, path.encode(), JSON, body or b"", within)
+    except (ConnectionError, TimeoutError) as why:
+        return 0, str(why).encode()
+    return status, told
+
+
+async def first(pool: Pool, desks: tuple[Address, ...], path: str, body: bytes | None = None) -> bytes:
+    """The first desk that answers well; ends with 1 and the last reason where none does."""
+    last = "no desk answers"
+    for address in desks:
+        status, told = await call(pool, address, path, body)
+        if status == 200:
+            return told
+        last = reason(status, told)
+        if status in (400, 409):
+            break  # another desk would say the same
+    click.echo(f"fleet: {last}", err=True)
+    raise SystemExit(1)
+
+
+def reason(status: int, told: bytes) -> str:
+    """Why a call did not do, in one line."""
+    try:
+        found = msgspec.json.decode(told)
+        return str(found["error"])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return f"no answer: {told.decode('utf-8', 'replace')}" if not status else f"status {status}"
+
+
+@fleet.command()
+@DESKS
+@click.option("--settings", "file", type=click.Path(), required=True, help="The gateways' own file.")
+def begin(desks: tuple[Address, ...], file: str) -> None:
+    """A fleet begins: every desk must answer, and every disk must be blank."""
+    import time
+
+    from burlmast.fleet.desk_shell import first_book
+
+    book = first_book(settings(file), time.time_ns())
+
+    async def work(pool: Pool) -> int:
+        for address in desks:
+            status, told = await call(pool, address, "/fleet/v1/status")
+            found = msgspec.json.decode(told, type=Status) if status == 200 else None
+            if found is None or found.voting:
+                why = reason(status, told) if found is None else "belongs to a fleet already"
+                click.echo(f"fleet: desk {address[0]}:{address[1]}: {why}; nothing has begun", err=True)
+                return 1
+        for address in desks:
+            status, told = await call(pool, address, "/fleet/v1/begin", msgspec.json.encode(Begin(book)))
+            if status != 200:
+                click.echo(f"fleet: desk {address[0]}:{address[1]}: {reason(status, told)}", err=True)
+                return 1
+        say({"fleet": book.fleet, "gateways": book.gateways, "desks": len(desks)})
+        return 0
+
+    raise SystemExit(ask(work))
+
+
+@fleet.command()
+@click.argument("file", type=click.Path())
+@DESKS
+@click.option("--apart", is_flag=True, help="The new version must not act beside the old one.")
+@click.option("--part", type=click.IntRange(0), multiple=True, help="A gateway; repeat. All by default.")
+@click.option("--without", type=click.IntRange(0), multiple=True, help="A gateway that surely does not run.")
+@click.option("--within", type=click.FloatRange(0), default=0.0, help="Seconds until it must be in force.")
+@click.option("--after", type=click.IntRange(0), default=None, help="Only if this is still the last order.")
+@click.option("--request", default="", help="Your own id: the same one again gives no second order.")
+def order(
+    file: str,
+    desks: tuple[Address, ...],
+    apart: bool,
+    part: tuple[int, ...],
+    without: tuple[int, ...],
+    within: float,
+    after: int | None,
+    request: str,
+) -> None:
+    """Order the settings in FILE for the fleet or a part of it. They are checked first."""
+    found = settings(file)
+    wanted = Wanted(
+        request or secrets.token_hex(8),
+        msgspec.json.encode(found).decode("utf-8"),
+        apart,
+        part,
+        without,
+        within * 1000,
+        after,
+    )
+    _order(desks, wanted)
+
+
+@fleet.command()
+@click.argument("number", type=click.IntRange(1))
+@DESKS
+@click.option("--request", default="", help="Your own id: the same one again gives no second order.")
+def withdraw(number: int, desks: tuple[Address, ...], request: str) -> None:
+    """Put back what was in force before order NUMBER, by an order of its own."""
+    _order(desks, Wanted(request or secrets.token_hex(8), undo=number))
+
+
+def _order(desks: tuple[Address, ...], wanted: Wanted) -> None:
+    told = ask(lambda pool: first(pool, desks, "/fleet/v1/order", msgspec.json.encode(wanted)))
+    given: Order = msgspec.json.decode(told, type=Order)
+    say({"order": given.number, "settings": given.settings, "apart": given.apart, "request": given.request})
+
+
+async def statuses(pool: Pool, desks: tuple[Address, ...]) -> list[Status | str]:
+    """What each desk says, or why it says nothing."""
+
+    async def one(address: Address) -> Status | str:
+        status, told = await call(pool, address, "/fleet/v1/status", within=3.0)
+        if status != 200:
+            return reason(status, told)
+        try:
+            return msgspec.json.decode(told, type=Status)
+        except msgspec.MsgspecError as why:
+            return f"not understood: {why}"
+
+    return list(await asyncio.gather(*(one(address) for address in desks)))
+
+
+@fleet.command()
+@DESKS
+@click.option("--json", "as_json", is_flag=True, help="One JSON line.")
+def status(desks: tuple[Address, ...], as_json: bool) -> None:
+    """Who is there, on which version, and what keeps the others. Ends with 1 where somebody lags."""
+    from burlmast.fleet.status import lines, summary
+
+    found = ask(lambda pool: statuses(pool, desks))
+    told = summary(found)
+    if as_json:
+        say(told)
+    else:
+        click.echo("\n".join(lines(told)))
+    raise SystemExit(0 if told.well else 1)
+
+
+def book_of(found: list[Status | str]) -> Book:
+    """The latest book that a desk has."""
+    books = [one.book for one in found if isinstance(one, Status)]
+    return max(books, key=lambda one: one.number, default=Book())
--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -80,18 +80,23 @@
     ) -> None:
         """`after` is called whenever the driver has been told something."""
         self._doorkeeper, self._now, self._after = doorkeeper, now, after
+        self.lacking = 0  # requests rejected for want of a notice that must be heard
+        self.offer(deployment)
+        self._addresses: dict[str, str] = {}  # what counts as served, by public id
+        self.driver: Driver | None = None
+        self.notices: Notices | None = None
+        self.shut: Callable[[], int] = lambda: 0  # nanoseconds until a viewer may ask again, 0 where open
+        self.closing = False
+
+    def offer(self, deployment: Deployment) -> None:
+        """What can be asked for from now on."""
         self._titles = {
             title.name: (place + 1, title) for place, title in enumerate(deployment.titles)
         }  # 0 is no title
         self._plans = {plan.name: (place, plan) for place, plan in enumerate(deployment.plans)}
         self._plan_names = [plan.name for plan in deployment.plans]
-        self.lacking = 0  # requests rejected for want of a notice that must be heard
-        self._top = len(deployment.ladder.rates_kb) - 1
-        self._addresses: dict[str, str] = {}  # what counts as served, by public id
         self._rates = deployment.ladder.rates_kb
-        self.driver: Driver | None = None
-        self.notices: Notices | None = None
-        self.closing = False
+        self._top = len(self._rates) - 1
 
     def application(self, exchange: Exchange) -> None:
         """Route one request."""
@@ -143,6 +148,11 @@
             exchange.keep_alive = False
             exchange.refuse(503, "this gateway is going; ask another", self.advice(SECOND))
             return
+        shut = self.shut()
+        if shut:
+            told = "rejected: this gateway may not act until it has caught up with the others; ask another"
+            exchange.refuse(503, told, self.advice(shut))
+            return
         lacking = self._lacks(wanted)
         if lacking:
             self.lacking += 1
--- a/burlmast/edge/hosts.py
+++ b/burlmast/edge/hosts.py
@@ -157,10 +157,12 @@
         number: int,
         probe_s: float,
         later: Callable[[float, Callable[[], None]], Any],
+        by: Callable[[Try], tuple[str, int, int, int] | None] = lambda one: None,
     ) -> None:
-        """`where` finds a host, `rate` the kB a second of a plan's rung, `later` calls after seconds."""
+        """`where` finds a host, `rate` the kB a second of a plan's rung, `later` calls after seconds, `by`
+        says under what a try is sent."""
         self._pool, self._ear, self._where, self._rate = pool, ear, where, rate
-        self._number, self._probe_s, self._later = number, probe_s, later
+        self._number, self._probe_s, self._later, self._by = number, probe_s, later, by
         self._known: dict[str, Address] = {}
 
     def _address(self, host: int) -> Address:
@@ -185,6 +187,7 @@
             playback.rung,
             self._rate(wanted.plan, playback.rung),
             wanted.lasts / 1e9,
+            self._by(one),
         )
         hearing = TryCall(self._ear, one)
         one.handle = hearing
--- a/burlmast/edge/operators.py
+++ b/burlmast/edge/operators.py
@@ -76,6 +76,8 @@
     def application(self, exchange: Exchange) -> None:
         """Answer an operator."""
         path = exchange.target.split(b"?", 1)[0]
+        if self._program.together.application(exchange, path.decode("ascii", "replace")):
+            return
         if path == b"/v1/programme" and exchange.method == b"PUT":
             exchange.collect(PROGRAMME_LIMIT, lambda body: self._put(exchange, body))
         elif exchange.method not in (b"GET", b"HEAD"):
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -23,6 +23,7 @@
 from burlmast.edge.listing import ListSide
 from burlmast.edge.operators import Operators
 from burlmast.edge.redial import Redial
+from burlmast.edge.together import Alone, Together
 from burlmast.edge.words import split_address
 from burlmast.hostbook.keeper import Keeper
 from burlmast.hostbook.shelf import Shelf
@@ -56,11 +57,13 @@
         maker: Maker = Gateway,
         seed: int | None = None,
         state: Path | None = None,
+        together: Callable[[Program], Together] = Alone.of,
     ) -> None:
         """Must be made on a running loop. `maker` makes the decisions; others than `Gateway` are for
         trials. With a folder for its `state` it stitches notices; raises StoreFault where that cannot be
-        used."""
+        used. `together` makes its part in a fleet of gateways."""
         self.deployment, self.number = deployment, number
+        self._maker = maker
         zone = number % len(deployment.zones) if zone is None else zone
         edge = deployment.edge
         super().__init__()
@@ -74,16 +77,20 @@
         self.longest_stall = 0.0
         self.pool = Pool(connect_s=edge.connect_ms / 1000)
         self.door = Door(deployment, self.doorkeeper, self.now, self.arm)
-        rates, scales = deployment.ladder.rates_kb, [plan.scale for plan in deployment.plans]
+        rungs = len(deployment.ladder.rates_kb)
         self.hosts = HostsSide(
             self.pool,
             self,
             lambda host: self.driver.address(host),
-            lambda plan, rung: rates[rung] * scales[plan],
+            self._rate,
             number,
             edge.probe_ms / 1000,
             self.loop.call_later,
+            self._under,
         )
+        self.together = together(self)
+        self.door.shut = self._shut
+        self._zone, self._changes = zone, 0
         seed = secrets.randbits(63) if seed is None else seed
         self.list: ListSide | None = None
         if list_address is not None:
@@ -103,6 +110,7 @@
                 self.now,
                 self.loop.call_later,
             )
+        self._seed = seed
         segment = nanoseconds(edge.segment_ms)
         told = terms(deployment, number, zone)
         self.driver = Driver(
@@ -119,7 +127,7 @@
             known = Known(
                 [title.name for title in deployment.titles],
                 [plan.name for plan in deployment.plans],
-                len(rates),
+                rungs,
                 deployment.fleet.cells,
             )
             self.notices = Notices(
@@ -152,6 +160,7 @@
         if self.list is not None and not self.deployment.allowed.must_ask:
             self.list.want()
         self.arm()
+        self.together.start(f"{operators[0]}:{ops}")
         self._watch_loop(self.loop.time())
         # What has been made by now stays; collecting it again and again is what would stop the loop for
         # longest.
@@ -225,15 +234,42 @@
         """The disk under the notices, or what stood on it, is not well."""
         self.log.error("notices", what=what)
 
+    # With others.
+
+    def _rate(self, plan: int, rung: int) -> float:
+        return self.deployment.ladder.rates_kb[rung] * self.deployment.plans[plan].scale
+
+    def _under(self, one: Try) -> tuple[str, int, int, int] | None:
+        return self.together.set_up(one.playback.public, one.host, one.place)
+
+    def _shut(self) -> int:
+        return 0 if self.together.may_take() else self.together.advice
+
+    def change_settings(self, deployment: Deployment) -> None:
+        """From now on these are in force: what plays and what is asked goes over to decisions by them."""
+        self.deployment, self._changes = deployment, self._changes + 1
+        self.door.offer(deployment)
+        told, seed = terms(deployment, self.number, self._zone), self._seed + self._changes
+        started = risen(self.driver.policy, self.now())
+        self.driver.change_policy(
+            self.now(), lambda now: self._maker(told, seed, now), deployment.allowed.tries, started
+        )
+        self.arm()
+
     # The driver's outside.
 
     def open_try(self, one: Try) -> None:
-        self.hosts.open_try(one)
+        # Danger: it may have been held since before a stop of this process, or of its lease.
+        if self.together.may_take():
+            self.hosts.open_try(one)
+        else:
+            self.driver.ended(self.now(), one, api.Ending.MOOT, api.Load())
 
     def close_try(self, one: Try) -> None:
         self.hosts.close_try(one)
 
     def change_rung(self, one: Try, rung: int) -> None:
+        self.together.act("stepped")
         self.hosts.change_rung(one, rung)
 
     def probe(self, host: int) -> None:
@@ -245,6 +281,8 @@
 
     def answer(self, playback: Playback, final: Final) -> None:
         self.operators.answer_time.observe((self.now() - playback.abandon + playback.wanted.patience) / 1e9)
+        if final.kind in ("rejected", "aborted"):
+            self.together.act(final.kind)
         self.door.answer(playback, final)
 
     def over(self, playback: Playback) -> None:
@@ -254,6 +292,7 @@
             self.notices.over(playback.public)
 
     def moved(self, now: int, playback: Playback) -> None:
+        self.together.act("moved")
         self.driver.come_back(now, playback)
 
     def hidden(self, playback: Playback) -> None:
@@ -278,6 +317,13 @@
         self.arm()
 
     def listed(self, scope: Scope, rows: tuple[api.HostRow, ...], where: dict[int, str]) -> None:
+        if scope is Scope.FAILED:
+            self._listed(scope, rows, where)
+        else:
+            complete = scope is not Scope.CHANGES
+            self.together.listed(complete, rows, lambda: self._listed(scope, rows, where))
+
+    def _listed(self, scope: Scope, rows: tuple[api.HostRow, ...], where: dict[int, str]) -> None:
         timed = self.timed(rows)
         if scope is not Scope.FAILED:
             if not self.ready:
@@ -330,6 +376,7 @@
     def close(self) -> None:
         """Close every socket."""
         self.disarm()
+        self.together.close()
         if self.list is not None:
             self.list.close()
         self.viewers.close()
@@ -341,6 +388,18 @@
         self.pool.close()
 
 
+def risen(policy: Policy, now: int) -> Callable[[api.HostRow], int]:
+    """The latest moment at which each host may have started, as far as these decisions know."""
+
+    def of(row: api.HostRow) -> int:
+        host = policy.hosts.get(row.host) if isinstance(policy, Gateway) else None
+        if host is None or host.fell:
+            return now
+        return max(row.started, min(host.risen, host.proven) if host.presumed else host.risen)
+
+    return of
+
+
 async def run(
     deployment: Deployment,
     number: int,
@@ -352,10 +411,11 @@
     zone: int | None = None,
     seed: int | None = None,
     state: Path | None = None,
+    together: Callable[[Program], Together] = Alone.of,
 ) -> int:
     """Run one gateway until it is stopped; the exit code. Raises OSError where it cannot listen, StoreFault
     where its state cannot be used."""
-    program = Program(deployment, number, list_address, zone, maker, seed, state)
+    program = Program(deployment, number, list_address, zone, maker, seed, state, together)
     try:
         viewers, ops = await program.start(*listen, operators)
         program.handle_signals()
--- a/burlmast/edge/words.py
+++ b/burlmast/edge/words.py
@@ -19,7 +19,7 @@
     resume: str = ""  # a playback that this gateway kept, to go on with
 
 
-class SetUpWords(msgspec.Struct):
+class SetUpWords(msgspec.Struct, omit_defaults=True):
     """One setup try, as a host is asked; `rate` kB a second."""
 
     playback: str
@@ -30,6 +30,7 @@
     rung: int
     rate: float
     lasts: float
+    by: tuple[str, int, int, int] | None = None  # life, page, act and epoch of a gateway of a fleet
 
 
 class StreamLine(msgspec.Struct, omit_defaults=True):
--- /dev/null
+++ b/burlmast/fleet/desk_shell.py
@@ -0,0 +1,524 @@
+"""A desk as a process: its listener, its disk and its calls to the other desks. What it answers is decided
+in `register`, `orders` and `lease`."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+import time
+import zlib
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+import structlog
+
+from burlmast.fleet import orders, register
+from burlmast.fleet.clock_shell import Clocks
+from burlmast.fleet.desk_store import DeskStore
+from burlmast.fleet.lease import DeskLeases
+from burlmast.fleet.orders import Book, Refused
+from burlmast.fleet.register import Answer, Ballot, Round
+from burlmast.fleet.stamp import canonical, digest
+from burlmast.fleet.words import (
+    Accept,
+    Begin,
+    Have,
+    Hello,
+    Member,
+    Prepare,
+    Rows,
+    Status,
+    Wanted,
+    Welcome,
+)
+from burlmast.http1.client import Address, Pool, Whole
+from burlmast.http1.server import Bounds, Exchange, Server
+from burlmast.settings.read import BadSettings, parse
+from burlmast.settings.sheets import Deployment
+
+JSON = ((b"content-type", b"application/json"),)
+BODY = 8 << 20
+TRIES = 12  # rounds of one change before it is given up
+Words = TypeVar("Words")
+
+
+class Desk:
+    """One desk. Made on a running loop."""
+
+    def __init__(
+        self, deployment: Deployment, number: int, desks: list[Address | None], folder: Path, clocks: Clocks
+    ) -> None:
+        """`desks` are all of them in their order, this one among them. Raises OSError, sqlite3.Error."""
+        self.deployment, self.number, self.desks, self.clocks = deployment, number, desks, clocks
+        self.log = structlog.get_logger().bind(desk=number)
+        self.store = DeskStore(folder)
+        if self.store.damaged:
+            self.log.error("laid aside, damaged", file=self.store.damaged)
+        self.kept = self.store.register()
+        self.learned = Book()
+        terms = deployment.edge.fleet
+        self.leases = DeskLeases(clocks.steady(), deployment.gateways, terms.drift, self.store.floor())
+        self.beat_s = terms.beat_ms / 1000
+        self.members: dict[tuple[int, str], tuple[int, Hello]] = {}
+        self.pool = Pool(connect_s=min(0.5, self.beat_s))
+        self.server = Server(self.application, Bounds(body=BODY, idle_s=120.0))
+        self.loop = asyncio.get_running_loop()
+        self._counter = max(self.kept.promised[0], self.kept.accepted[0])
+        self._draws = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._changing = asyncio.Lock()
+        self.waits = ""
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen; the port. Raises OSError."""
+        found = await self.server.listen(host, port)
+        self._spawn(self._look_after())
+        self.log.info("started", port=found, voting=self.kept.voting)
+        return found
+
+    def _spawn(self, work: Any) -> None:
+        task = self.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Stop."""
+        for task in list(self._tasks):
+            task.cancel()
+        self.server.close()
+        self.pool.close()
+        self.store.close()
+
+    # Requests.
+
+    def application(self, exchange: Exchange) -> None:
+        """Answer a gateway, a desk or an operator."""
+        path = exchange.target.split(b"?", 1)[0].decode("ascii", "replace")
+        post: dict[str, Callable[[Exchange, bytes], None]] = {
+            "/fleet/v1/hello": self._hello,
+            "/fleet/v1/prepare": self._prepare,
+            "/fleet/v1/accept": self._accept,
+            "/fleet/v1/learn": self._learn,
+            "/fleet/v1/settings": self._put_settings,
+            "/fleet/v1/rows": self._rows,
+            "/fleet/v1/order": self._order,
+            "/fleet/v1/begin": self._begin,
+        }
+        if exchange.method == b"POST" and path in post:
+            take = post[path]
+            exchange.collect(BODY, lambda body: self._guarded(exchange, take, body))
+        elif exchange.method != b"GET":
+            exchange.refuse(405 if path in post else 404, "there is nothing here for that method")
+        elif path.startswith("/fleet/v1/settings/"):
+            body = self.store.settings(path.rpartition("/")[2])
+            if body is None:
+                exchange.refuse(404, "these settings are not here")
+            else:
+                exchange.respond(200, JSON, body)
+        elif path == "/fleet/v1/book":
+            exchange.json(200, self.learned)
+        elif path == "/fleet/v1/status":
+            exchange.json(200, self.status())
+        elif path == "/fleet/v1/contradictions":
+            exchange.json(200, self.store.contradictions())
+        else:
+            exchange.refuse(404, "there is nothing here")
+
+    def _guarded(self, exchange: Exchange, take: Callable[[Exchange, bytes], None], body: bytes) -> None:
+        try:
+            take(exchange, body)
+        except (msgspec.MsgspecError, RecursionError) as why:
+            exchange.refuse(400, f"not understood: {why}")
+        except Refused as why:
+            exchange.refuse(409, str(why))
+        except (sqlite3.Error, OSError) as why:
+            # Danger: what is not on the disk must not be answered as if it were.
+            self.log.error("the disk does not take it", why=str(why))
+            exchange.refuse(507, f"this desk's disk: {why}")
+
+    def _hello(self, exchange: Exchange, body: bytes) -> None:
+        hello: Hello = msgspec.json.decode(body, type=Hello)
+        if hello.fleet and self.learned.fleet and hello.fleet != self.learned.fleet:
+            exchange.refuse(409, f"this is fleet {self.learned.fleet}, not {hello.fleet}")
+            return
+        now = self.clocks.steady()
+        ask = hello.ask
+        if hello.rows:
+            self.store.take(hello.rows)
+        self.members[ask.gateway, ask.life] = now, hello
+        if not self.kept.voting:
+            exchange.refuse(503, "this desk's disk is blank; it waits to be filled")
+            return
+        floor = self.leases.floor
+        given = self.leases.take(now, ask, orders.called(self.learned))
+        if self.leases.floor != floor:
+            self.store.keep_floor(self.leases.floor)
+        if not given.yes:
+            self.waits = given.why
+        have = {life: self.store.have.get(life, 0) for life in hello.has}
+        book = self.learned if self.learned.number > hello.book or not hello.fleet else None
+        exchange.json(200, Welcome(given, book, have, self._peers(now)))
+
+    def _peers(self, now: int) -> tuple[tuple[int, str, str], ...]:
+        lately = now - int(10 * self.beat_s * 1e9)
+        return tuple(
+            (number, life, hello.operators)
+            for (number, life), (at, hello) in sorted(self.members.items())
+            if at >= lately and hello.operators
+        )
+
+    def _prepare(self, exchange: Exchange, body: bytes) -> None:
+        words: Prepare = msgspec.json.decode(body, type=Prepare)
+        exchange.json(200, self._promise(words.ballot))
+
+    def _promise(self, ballot: Ballot) -> Answer:
+        kept, answer = register.prepare(self.kept, ballot)
+        if kept != self.kept:
+            self.store.keep_register(kept)
+            self.kept = kept
+        return answer
+
+    def _accept(self, exchange: Exchange, body: bytes) -> None:
+        words: Accept = msgspec.json.decode(body, type=Accept)
+        exchange.json(200, self._take(words.ballot, words.value))
+
+    def _take(self, ballot: Ballot, value: bytes) -> Answer:
+        kept, answer = register.accept(self.kept, ballot, value)
+        if kept != self.kept:
+            self.store.keep_register(kept)
+            self.kept = kept
+        return answer
+
+    def _learn(self, exchange: Exchange, body: bytes) -> None:
+        self._learned(orders.read_book(body))
+        exchange.json(200, {"book": self.learned.number})
+
+    def _learned(self, book: Book) -> None:
+        if book.number > self.learned.number or (book.fleet and not self.learned.fleet):
+            self.learned = book
+            self.log.info("has a book of orders", fleet=book.fleet, order=book.number)
+
+    def _put_settings(self, exchange: Exchange, body: bytes) -> None:
+        exchange.json(200, {"digest": self._keep_settings(body)})
+
+    def _keep_settings(self, body: bytes) -> str:
+        try:
+            found = parse(body.decode("utf-8"))
+        except (BadSettings, UnicodeDecodeError) as why:
+            raise Refused(str(why)) from None
+        plain, name = canonical(found), digest(found)
+        self.store.keep_settings(name, plain)
+        return name
+
+    def _rows(self, exchange: Exchange, body: bytes) -> None:
+        have: dict[str, int] = msgspec.json.decode(body, type=Have).have
+        exchange.json(200, Rows(tuple(self.store.rows(have))))
+
+    def _order(self, exchange: Exchange, body: bytes) -> None:
+        wanted: Wanted = msgspec.json.decode(body, type=Wanted)
+        self._spawn(self._answer_order(exchange, wanted))
+
+    async def _answer_order(self, exchange: Exchange, wanted: Wanted) -> None:
+        try:
+            book = await self.order(wanted)
+        except Refused as why:
+            exchange.refuse(409, str(why))
+        except NoMajority as why:
+            exchange.refuse(503, str(why))
+        except (sqlite3.Error, OSError) as why:
+            exchange.refuse(507, f"this desk's disk: {why}")
+        else:
+            mine = next((one for one in book.orders if one.request == wanted.request), None)
+            exchange.json(200, mine)
+
+    def _begin(self, exchange: Exchange, body: bytes) -> None:
+        book: Book = msgspec.json.decode(body, type=Begin).book
+        if self.kept.voting:
+            raise Refused(f"this desk belongs to fleet {self.learned.fleet or '(not heard yet)'} already")
+        kept = register.begin(self.kept, orders.write_book(book))
+        self.store.keep_register(kept)
+        self.kept = kept
+        self._learned(book)
+        exchange.json(200, self.learned)
+
+    def status(self) -> Status:
+        """All that this desk knows."""
+        now = self.clocks.steady()
+        members = tuple(
+            Member(
+                number,
+                life,
+                hello.operators,
+                hello.stamp,
+                hello.state,
+                hello.why,
+                hello.stamp.order,
+                hello.fresh,
+                hello.left,
+                round((now - at) / 1e9, 3),
+                hello.acts,
+            )
+            for (number, life), (at, hello) in sorted(self.members.items())
+        )
+        return Status(
+            self.number,
+            len(self.desks),
+            self.kept.voting,
+            self.leases.floor,
+            self.learned,
+            members,
+            sum(self.store.have.values()),
+            len(self.store.contradictions()),
+            self.waits,
+        )
+
+    # Changes.
+
+    async def order(self, wanted: Wanted) -> Book:
+        """Give an order. Raises Refused, NoMajority."""
+        terms = self.deployment.edge.fleet
+        if wanted.undo:
+            return await self._change(
+                lambda book: orders.withdraw(book, wanted.undo, wanted.request, self.clocks.wall())
+            )
+        name = self._keep_settings(wanted.settings.encode("utf-8"))
+        found = parse(wanted.settings)
+        if found.gateways != self.deployment.gateways:
+            raise Refused(
+                f"they are for {found.gateways} gateways, and this fleet has {self.deployment.gateways}"
+            )
+        plain = self.store.settings(name) or b""
+        kept = await self._everywhere("/fleet/v1/settings", plain)
+        if 1 + sum(1 for one in kept if one is not None) < len(self.desks) // 2 + 1:
+            raise NoMajority("a majority of desks does not keep the settings; nothing is ordered")
+        order = orders.Order(
+            0,
+            wanted.request,
+            name,
+            found.edge.fleet.lease_ms,
+            wanted.apart,
+            wanted.part,
+            wanted.without,
+            wanted.within_ms or terms.within_ms,
+            self.clocks.wall(),
+        )
+        return await self._change(lambda book: orders.give(book, order, wanted.after))
+
+    async def _change(self, change: Callable[[Book], Book]) -> Book:
+        """Change the register's value. Raises Refused, NoMajority."""
+        refused: list[Refused] = []
+
+        def apply(raw: bytes) -> bytes | None:
+            refused.clear()
+            try:
+                return orders.write_book(change(orders.read_book(raw)))
+            except Refused as why:
+                refused.append(why)
+                return None
+
+        async with self._changing:
+            one = await self._settle(apply)
+        if refused:
+            raise refused[0]
+        book = orders.read_book(one.value)
+        self._learned(book)
+        self._spawn(self._tell(one.value))
+        return book
+
+    async def _tell(self, value: bytes) -> None:
+        await self._everywhere("/fleet/v1/learn", value)
+
+    async def _settle(self, apply: Callable[[bytes], bytes | None]) -> Round:
+        """Rounds until one is done. Raises NoMajority."""
+        if not self.kept.voting:
+            raise NoMajority("this desk's disk is blank; it waits to be filled")
+        for attempt in range(TRIES):
+            one = Round(self.number, len(self.desks), self._ballot(), apply)
+            await self._ask(one, Prepare(one.ballot), "prepare", [*range(len(self.desks))])
+            if one.state == "telling":
+                await self._ask(one, Accept(one.ballot, one.value), "accept", one.voters)
+            if one.state in ("done", "unchanged"):
+                return one
+            self._counter = max(self._counter, one.highest[0])
+            await asyncio.sleep(self._pause(attempt))
+        raise NoMajority("no majority of desks answers; nothing is changed by this desk, ask again")
+
+    def _ballot(self) -> Ballot:
+        self._counter = max(self._counter, self.kept.promised[0]) + 1
+        return self._counter, self.number
+
+    def _pause(self, attempt: int) -> float:
+        # Two desks that change at once would disturb each other for good.
+        self._draws += 1
+        chance = zlib.crc32(f"{self.number}:{self._draws}".encode()) / 2**32
+        return self.beat_s / 10 * (1 + min(attempt, 4)) * (0.2 + chance)
+
+    async def _ask(self, one: Round, words: Prepare | Accept, what: str, whom: list[int]) -> None:
+        state = one.state
+
+        async def ask(desk: int) -> None:
+            answer: Answer | None
+            try:
+                if desk == self.number:
+                    answer = (
+                        self._promise(words.ballot)
+                        if isinstance(words, Prepare)
+                        else self._take(words.ballot, words.value)
+                    )
+                else:
+                    answer = await self._call(desk, f"/fleet/v1/{what}", msgspec.json.encode(words), Answer)
+            except (ConnectionError, TimeoutError, sqlite3.Error, OSError, msgspec.MsgspecError):
+                answer = None
+            if one.state == state:
+                one.answered(desk, answer)
+
+        waiting: set[asyncio.Future[None]] = {asyncio.ensure_future(ask(desk)) for desk in whom}
+        while waiting and one.state == state:
+            _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        for task in waiting:
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        if one.state == state:
+            one.state = "lost"
+
+    async def _call(self, desk: int, path: str, body: bytes, kind: type[Words]) -> Words:
+        address = self.desks[desk]
+        if address is None:
+            raise ConnectionError("no address")
+        status, _, told = await Whole.of(
+            self.pool, address, b"POST", path.encode(), JSON, body, within=self.beat_s
+        )
+        if status != 200:
+            raise ConnectionError(f"status {status}")
+        return msgspec.json.decode(told, type=kind)
+
+    async def _everywhere(self, path: str, body: bytes) -> list[object | None]:
+        """Tell all other desks; what each answered, None for nothing."""
+
+        async def one(desk: int) -> object | None:
+            try:
+                return await self._call(desk, path, body, object)
+            except (ConnectionError, TimeoutError, msgspec.MsgspecError):
+                return None
+
+        others = [desk for desk in range(len(self.desks)) if desk != self.number]
+        return list(await asyncio.gather(*(one(desk) for desk in others)))
+
+    # What it looks after by itself.
+
+    async def _look_after(self) -> None:
+        while True:
+            for work in (self._fill, self._read, self._sync_rows, self._sync_settings):
+                await self._quietly(work)
+            await asyncio.sleep(self.beat_s * (0.75 + self._pause(0) / self.beat_s))
+
+    async def _quietly(self, work: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await work()
+        except (ConnectionError, TimeoutError, NoMajority, Refused):
+            pass  # the next beat tries again
+        except (sqlite3.Error, OSError, msgspec.MsgspecError) as why:
+            self.log.error("could not be looked after", what=work.__name__, why=str(why))
+
+    async def _fill(self) -> None:
+        """A blank disk is filled by the others: a ballot of its own that a majority of all promises."""
+        if self.kept.voting or len(self.desks) == 1:
+            return
+        one = Round(self.number, len(self.desks), self._ballot(), lambda raw: raw)
+        one.filling = True
+        others = [desk for desk in range(len(self.desks)) if desk != self.number]
+        await self._ask(one, Prepare(one.ballot), "prepare", others)
+        self._counter = max(self._counter, one.highest[0])
+        if one.state == "done":
+            kept = register.fill(self.kept, one.ballot, *one.newest)
+            self.store.keep_register(kept)
+            self.kept = kept
+            self.log.warning("filled by the others", accepted=kept.accepted)
+
+    async def _read(self) -> None:
+        """Learn what a majority holds, where this desk may have missed it."""
+        held = orders.read_book(self.kept.value)
+        if self.kept.voting and (held.number > self.learned.number or not self.learned.fleet):
+            async with self._changing:
+                one = await self._settle(lambda raw: raw)
+            self._learned(orders.read_book(one.value))
+        elif self.kept.voting and len(self.desks) > 1:
+            desk = [one for one in range(len(self.desks)) if one != self.number]
+            self._draws += 1
+            other = desk[self._draws % len(desk)]
+            address = self.desks[other]
+            if address is not None:
+                _, _, told = await Whole.of(self.pool, address, b"GET", b"/fleet/v1/book", within=self.beat_s)
+                book = orders.read_book(told)
+                if book.fleet == self.learned.fleet:
+                    self._learned(book)
+
+    async def _sync_rows(self) -> None:
+        """Rows that another desk has and this one lacks."""
+        for desk in range(len(self.desks)):
+            if desk != self.number:
+                words = msgspec.json.encode(Have(self.store.have))
+                try:
+                    told = await self._call(desk, "/fleet/v1/rows", words, Rows)
+                except (ConnectionError, TimeoutError):
+                    continue
+                if told.rows:
+                    self.store.take(told.rows)
+
+    async def _sync_settings(self) -> None:
+        """Settings that an order names and this disk lacks, from whoever has them."""
+        names = {one.settings for one in self.learned.orders if one.settings}
+        for name in sorted(one for one in names if self.store.settings(one) is None):
+            others = [one for place, one in enumerate(self.desks) if place != self.number and one is not None]
+            gateways = [split(hello.operators) for _, hello in self.members.values() if hello.operators]
+            for address in [*others, *gateways]:
+                target = f"/fleet/v1/settings/{name}".encode()
+                try:
+                    status, _, body = await Whole.of(self.pool, address, b"GET", target, within=self.beat_s)
+                except (ConnectionError, TimeoutError):
+                    continue
+                if status == 200 and self._keep_settings(body) == name:
+                    break
+
+
+def split(address: str) -> Address:
+    """Name and port of `name:port`, with or without `http://`."""
+    name, _, port = address.removeprefix("http://").rpartition(":")
+    return name, int(port)
+
+
+class NoMajority(Exception):
+    """Too few desks answer: one line. The change may still come into force; the request's id tells."""
+
+
+async def run(
+    deployment: Deployment,
+    number: int,
+    desks: list[Address | None],
+    listen: Address,
+    folder: Path,
+    clocks: Clocks,
+    begin: bool,
+    told: Callable[[dict[str, Any]], None],
+    until: Callable[[], Awaitable[None]],
+) -> int:
+    """Run one desk until it is stopped; the exit code. Raises OSError, sqlite3.Error."""
+    desk = Desk(deployment, number, desks, folder, clocks)
+    try:
+        port = await desk.start(*listen)
+        if begin and not desk.kept.voting:
+            desk.kept = register.begin(desk.kept, orders.write_book(first_book(deployment, time.time_ns())))
+            desk.store.keep_register(desk.kept)
+        told({"ready": True, "desk": f"http://{listen[0]}:{port}", "number": number})
+        await until()
+        return 0
+    finally:
+        desk.close()
+        await asyncio.sleep(0)
+
+
+def first_book(deployment: Deployment, wall: int) -> Book:
+    """The book of a fleet that begins."""
+    name = f"{deployment.name}-{wall // 1_000_000_000:x}"
+    return Book(name, deployment.gateways, deployment.edge.fleet.lease_ms)
--- /dev/null
+++ b/burlmast/fleet/desk_store.py
@@ -0,0 +1,141 @@
+"""A desk's disk: SQLite in WAL mode. What a desk answers rests on what is here; calls block."""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+from collections.abc import Iterable
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+
+from burlmast.fleet.ledger import Row
+from burlmast.fleet.register import Kept
+from burlmast.fleet.words import ROWS_AT_ONCE
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, body BLOB NOT NULL);
+CREATE TABLE IF NOT EXISTS settings (digest TEXT PRIMARY KEY, body BLOB NOT NULL);
+CREATE TABLE IF NOT EXISTS row (life TEXT NOT NULL, n INTEGER NOT NULL, body BLOB NOT NULL,
+    PRIMARY KEY (life, n)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS contradiction (life TEXT, n INTEGER, body BLOB, PRIMARY KEY (life, n, body));
+"""
+
+
+class DeskStore:
+    """Register, settings, gathered rows."""
+
+    def __init__(self, folder: Path) -> None:
+        """A damaged file is laid aside and told in `damaged`: the desk is blank then, and votes only once it
+        has been filled. Raises OSError, sqlite3.Error."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self.damaged = ""
+        file = folder / "desk.sqlite"
+        try:
+            self._base = self._open(file)
+        except sqlite3.DatabaseError as why:
+            if isinstance(why, sqlite3.OperationalError):
+                raise
+            self.damaged = f"{file}: {why}"
+            for name in (file, file.with_name(file.name + "-wal"), file.with_name(file.name + "-shm")):
+                if name.exists():
+                    os.replace(name, name.with_name(f"{name.name}.damaged-{os.getpid()}"))
+            self._base = self._open(file)
+        count = "SELECT life, MAX(n) FROM row GROUP BY life"
+        self.have: dict[str, int] = dict(self._base.execute(count).fetchall())
+
+    @staticmethod
+    def _open(file: Path) -> sqlite3.Connection:
+        base = sqlite3.connect(file, isolation_level=None, timeout=2.0)
+        try:
+            base.execute("PRAGMA journal_mode=WAL")
+            base.execute("PRAGMA synchronous=FULL")
+            base.executescript(SCHEMA)
+            found = base.execute("PRAGMA quick_check").fetchone()[0]
+            if found != "ok":
+                raise sqlite3.DatabaseError(found)
+        except sqlite3.Error:
+            base.close()
+            raise
+        return base
+
+    def _named(self, name: str) -> bytes | None:
+        row = self._base.execute("SELECT body FROM kept WHERE name = ?", (name,)).fetchone()
+        return bytes(row[0]) if row is not None else None
+
+    def _keep(self, name: str, body: bytes) -> None:
+        self._base.execute("INSERT OR REPLACE INTO kept VALUES (?, ?)", (name, body))
+
+    def register(self) -> Kept:
+        """The acceptor's state, blank on a new disk."""
+        raw = self._named("register")
+        return msgspec.msgpack.decode(raw, type=Kept) if raw is not None else Kept()
+
+    def keep_register(self, kept: Kept) -> None:
+        """On return it is on the disk."""
+        self._keep("register", msgspec.msgpack.encode(kept))
+
+    def floor(self) -> int:
+        """The highest epoch in which this desk has let anybody act."""
+        return int(self._named("floor") or 0)
+
+    def keep_floor(self, floor: int) -> None:
+        """On return it is on the disk."""
+        self._keep("floor", b"%d" % floor)
+
+    def settings(self, digest: str) -> bytes | None:
+        """Settings by their name."""
+        row = self._base.execute("SELECT body FROM settings WHERE digest = ?", (digest,)).fetchone()
+        return bytes(row[0]) if row is not None else None
+
+    def keep_settings(self, digest: str, body: bytes) -> None:
+        """On return they are on the disk."""
+        self._base.execute("INSERT OR IGNORE INTO settings VALUES (?, ?)", (digest, body))
+
+    def take(self, rows: Iterable[Row]) -> None:
+        """Gathered rows: each life without a hole, so that `have` says all. A row that is here and says
+        something else is kept as a contradiction."""
+        fresh: dict[str, int] = {}
+        self._base.execute("BEGIN IMMEDIATE")
+        try:
+            for row in rows:
+                body = msgspec.msgpack.encode(row)
+                upto = fresh.get(row.life, self.have.get(row.life, 0))
+                if row.n == upto + 1:
+                    self._base.execute("INSERT INTO row VALUES (?, ?, ?)", (row.life, row.n, body))
+                    fresh[row.life] = row.n
+                elif 0 < row.n <= upto:
+                    there = self._base.execute(
+                        "SELECT body FROM row WHERE life = ? AND n = ?", (row.life, row.n)
+                    ).fetchone()
+                    if there is not None and bytes(there[0]) != body:
+                        self._base.execute(
+                            "INSERT OR IGNORE INTO contradiction VALUES (?, ?, ?)", (row.life, row.n, body)
+                        )
+            self._base.execute("COMMIT")
+        except BaseException:
+            with suppress(sqlite3.Error):
+                if self._base.in_transaction:
+                    self._base.execute("ROLLBACK")
+            raise
+        self.have.update(fresh)
+
+    def rows(self, have: dict[str, int], most: int = ROWS_AT_ONCE) -> list[Row]:
+        """What somebody who has so much lacks, at most so many."""
+        found: list[Row] = []
+        for life in sorted(self.have):
+            if len(found) < most and self.have[life] > have.get(life, 0):
+                wanted = "SELECT body FROM row WHERE life = ? AND n > ? ORDER BY n LIMIT ?"
+                bodies = self._base.execute(wanted, (life, have.get(life, 0), most - len(found))).fetchall()
+                found += [msgspec.msgpack.decode(body, type=Row) for (body,) in bodies]
+        return found
+
+    def contradictions(self) -> list[Row]:
+        """Rows that say something else than those under their numbers."""
+        found = self._base.execute("SELECT body FROM contradiction ORDER BY life, n").fetchall()
+        return [msgspec.msgpack.decode(body, type=Row) for (body,) in found]
+
+    def close(self) -> None:
+        """Let go of the file."""
+        self._base.close()
--- /dev/null
+++ b/burlmast/fleet/gateway_shell.py
@@ -0,0 +1,553 @@
+"""A gateway's part in its fleet: the word to each desk, its ledger, its lease, and the orders it follows.
+
+What is decided stands in `follow`, `lease` and `ledger`; here are sockets, files and timers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import sqlite3
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple, Protocol
+
+import msgspec
+import structlog
+
+from burlmast.fleet import orders
+from burlmast.fleet.clock_shell import Clocks
+from burlmast.fleet.follow import Follower
+from burlmast.fleet.lease import Ask, GatewayLease
+from burlmast.fleet.ledger import Ledger
+from burlmast.fleet.ledger_shell import Files, FolderInUse, Lock, Scribe
+from burlmast.fleet.orders import Book
+from burlmast.fleet.stamp import ListName, Stamp, canonical, digest
+from burlmast.fleet.words import Hello, Placed, Welcome
+from burlmast.http1.client import Address, Pool, Whole
+from burlmast.http1.server import Exchange
+from burlmast.settings.live import needs_restart
+from burlmast.settings.read import BadSettings, parse
+from burlmast.settings.sheets import Deployment
+
+JSON = ((b"content-type", b"application/json"),)
+MS = 1_000_000
+
+
+class Around(Protocol):
+    """What the gateway program gives."""
+
+    def change_settings(self, deployment: Deployment) -> None:
+        """From now on these are in force."""
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """What a gateway keeps of the fleet on its disk."""
+
+    book: Book = Book()
+    in_force: int = 0
+    settings: str = ""  # digest of those in force, empty for the own file
+    epoch: int = 0
+    let: bool = True  # a majority has let it act in this epoch
+    life: str = ""
+
+
+class Start(NamedTuple):
+    """What a gateway of a fleet starts with."""
+
+    own: Deployment
+    deployment: Deployment  # in force from the start
+    standing: Standing
+    files: Files | None
+    lock: Lock | None
+    folder: Path
+    trouble: str
+
+
+def open_folder(folder: Path, own: Deployment) -> Start:
+    """Read what an earlier life kept. A disk that gives nothing does not keep a gateway from serving.
+    Raises FolderInUse where another process holds the folder."""
+    files, lock, trouble, standing = None, None, "", Standing()
+    try:
+        lock = Lock(folder)
+        files = Files(folder)
+        trouble = files.damaged
+        raw = files.named("standing")
+        standing = msgspec.msgpack.decode(raw, type=Standing) if raw is not None else standing
+    except FolderInUse:
+        raise
+    except (OSError, sqlite3.Error, msgspec.MsgspecError) as why:
+        trouble = f"{folder}: {why}"
+    deployment = own
+    order = orders.wanted(standing.book, own_number(folder))
+    if files is not None and order is not None:
+        # What was kept for the next start is taken now, unless others may still act on what must not mix.
+        epoch = orders.epoch_at(standing.book, standing.book.number)
+        choices = [(order.number, order.settings)] if epoch == standing.epoch else []
+        for number, name in [*choices, (standing.in_force, standing.settings)]:
+            found = _kept_settings(files, name, own)
+            if found is not None:
+                deployment = found
+                standing = msgspec.structs.replace(standing, in_force=number, settings=name)
+                break
+        else:
+            trouble = trouble or f"{folder}: the settings of order {standing.in_force} are not on this disk"
+            standing = msgspec.structs.replace(standing, in_force=0, settings="")
+    return Start(own, deployment, standing, files, lock, folder, trouble)
+
+
+def own_number(folder: Path) -> int:
+    """The gateway's number by its folder, `gateway-N`."""
+    return int(folder.name.rpartition("-")[2])
+
+
+def _kept_settings(files: Files, name: str, own: Deployment) -> Deployment | None:
+    if not name:
+        return own
+    raw = files.named(f"settings {name}")
+    try:
+        return parse(raw.decode("utf-8")) if raw is not None else None
+    except (BadSettings, UnicodeDecodeError):
+        return None
+
+
+class FleetSide:
+    """One gateway among its fleet; made on a running loop."""
+
+    def __init__(
+        self,
+        number: int,
+        start: Start,
+        desks: list[Address],
+        pool: Pool,
+        around: Around,
+        clocks: Clocks,
+        build: str,
+        seed: int,
+    ) -> None:
+        """`desks` in the order in which all know them."""
+        self.number, self.desks, self.clocks, self._start = number, desks, clocks, start
+        self._pool, self._around = pool, around
+        self.log = structlog.get_logger().bind(gateway=number)
+        terms = start.own.edge.fleet
+        self._beat_s = terms.beat_ms / 1000
+        self.life = secrets.token_hex(8)
+        self.before = start.standing.life
+        self.book = start.standing.book
+        self.settings, self._settings_name = start.deployment, start.standing.settings
+        self._digest = digest(start.deployment)
+        self.follower = Follower(
+            number,
+            self.book,
+            start.standing.in_force,
+            int(terms.again_ms * MS),
+            int(terms.again_longest_ms * MS),
+            seed,
+        )
+        length = self._length(start.deployment)
+        self.lease = GatewayLease(len(desks), terms.drift, length, start.standing.epoch)
+        self.lease.free = self.lease.free and start.standing.let
+        self._epoch_in_force = orders.epoch_at(self.book, start.standing.in_force)
+        self.ledger = Ledger(self.life, number, self.before, clocks.wall())
+        self.scribe = Scribe(
+            start.files,
+            self.ledger,
+            terms.ledger_ms / 1000,
+            terms.slow_disk_ms / 1000,
+            terms.placed,
+            clocks.wall,
+            self._trouble,
+        )
+        self._list = ListName()
+        self._programme = 0
+        self._build = build
+        self._announced: Stamp | None = None
+        self.operators = ""
+        self.peers: dict[int, tuple[str, Address]] = {}
+        self._have: list[dict[str, int]] = [{} for _ in desks]
+        self._asks = 0
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
+        self._hurry = [asyncio.Event() for _ in desks]
+        self._was_fresh = True
+        self.turned_away = 0
+        if start.trouble:
+            self._trouble(start.trouble)
+
+    @staticmethod
+    def _length(deployment: Deployment) -> int:
+        return int(deployment.edge.fleet.lease_ms * MS)
+
+    def _trouble(self, what: str) -> None:
+        self.log.error("fleet", what=what)
+
+    def start(self, operators: str) -> None:
+        """Begin to speak with the desks."""
+        self.operators = operators
+        self.scribe.start()
+        self._keep_standing()
+        self._turn(lambda: None)
+        for desk in range(len(self.desks)):
+            self._spawn(self._speak(desk))
+        self._spawn(self._look_after())
+        if not self.follower.caught_up:
+            self._do(self.follower.take(self.clocks.steady(), "ordered"))
+
+    def _spawn(self, work: Any) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Stop; the ledger's last rows are on the disk when this returns."""
+        self._closed = True
+        for task in list(self._tasks):
+            task.cancel()
+        self.scribe.close()
+        if self._start.lock is not None:
+            self._start.lock.close()
+
+    # The gateway's acts.
+
+    def may_take(self) -> bool:
+        """Whether a request may be taken, or a set-up sent, at this very moment."""
+        # Danger: a process that was stopped for longer than its lease asks here before any timer rings.
+        fresh = self.lease.fresh(self.clocks.steady()) and self._epoch_in_force == self.lease.epoch
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            self.log.warning("takes requests again" if fresh else "shut out", why=self.lease.why)
+        if not fresh:
+            self.turned_away += 1
+        return fresh
+
+    @property
+    def advice(self) -> int:
+        """When to come again, nanoseconds, for those that a gateway without lease sends away."""
+        return int(self._beat_s * 1e9)
+
+    def act(self, kind: str) -> int:
+        """An act is done; its number."""
+        return self.ledger.act(kind)
+
+    def set_up(self, playback: str, host: int, attempt: int) -> tuple[str, int, int, int]:
+        """A set-up is sent; what the host is told of it."""
+        act, page = self.ledger.act("set up"), self.ledger.page
+        self.scribe.placed(Placed(playback, self.life, act, page, host, self.clocks.wall(), attempt))
+        return self.life, page, act, self.lease.epoch
+
+    # Stamps.
+
+    def stamp(self) -> Stamp:
+        """What acts rest on once the ledger has it."""
+        return Stamp(
+            self._build,
+            self._digest,
+            self._list.name,
+            self._programme,
+            self.follower.in_force,
+            self._epoch_in_force,
+        )
+
+    def listed(self, complete: bool, rows: Any, then: Callable[[], None]) -> None:
+        """News of the list; `then` once the ledger can say so."""
+        self._list.heard(complete, rows)
+        self._turn(then, hosts=self._list.name)
+
+    def programme(self, version: int) -> None:
+        """Another programme of notices is in force."""
+        self._programme = version
+        self._turn(lambda: None, programme=version)
+
+    def _turn(self, then: Callable[[], None], **changes: Any) -> None:
+        # What comes after a page that is still on its way to the disk rests on that one.
+        stamp = msgspec.structs.replace(self._announced or self.stamp(), **changes)
+        if stamp == self._announced and not self.scribe.waits:
+            then()
+            return
+        self._announced = stamp
+        self.scribe.turn(self.ledger.announce(stamp, self.clocks.wall()), then)
+
+    # The word to the desks.
+
+    async def _speak(self, desk: int) -> None:
+        wait = self._beat_s * (self.number % 16) / 64  # a fleet that starts together does not speak at once
+        while not self._closed:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._hurry[desk].wait()
+            except TimeoutError:
+                pass
+            self._hurry[desk].clear()
+            try:
+                await self._hello(desk)
+            except (ConnectionError, TimeoutError, msgspec.MsgspecError, sqlite3.Error, LookupError) as why:
+                self.log.debug("desk", desk=desk, why=str(why))
+            # A gateway that is shut out, or has a new order at hand, looks sooner: viewers are sent away.
+            wait = self._beat_s if self.may_act(self.clocks.steady()) else self._beat_s / 4
+
+    async def _hello(self, desk: int) -> None:
+        have = self._have[desk]
+        rows: list[Any] = []
+        if any(count > have.get(life, 0) for life, count in self.scribe.has.items()) and have:
+            rows = await self.scribe.rows(have)
+        now, lease = self.clocks.steady(), self.lease
+        fresh = self.may_act(now)
+        self._asks += 1
+        ask = Ask(
+            self.number,
+            self.life,
+            self._asks,
+            lease.epoch,
+            lease.free,
+            lease.length,
+            self.follower.ready,
+            self.before,
+        )
+        left = 0.0 if lease.free else (lease.until(now) - now) / 1e9
+        hello = Hello(
+            ask,
+            self.operators,
+            self.stamp(),
+            "shut out" if not fresh else self.follower.state,
+            self.follower.why or ("" if fresh else lease.why),
+            self.book.number,
+            self.ledger.acts,
+            fresh,
+            left,
+            self.book.fleet,
+            self.scribe.has,
+            tuple(rows),
+        )
+        body = msgspec.json.encode(hello)
+        status, _, told = await Whole.of(
+            self._pool, self.desks[desk], b"POST", b"/fleet/v1/hello", JSON, body, within=self._beat_s
+        )
+        if status != 200:
+            raise ConnectionError(f"status {status}: {told[:200]!r}")
+        welcome: Welcome = msgspec.json.decode(told, type=Welcome)
+        self._have[desk] = {life: 0 for life in self.scribe.has} | welcome.have
+        self.peers.update({one: (life, split(address)) for one, life, address in welcome.peers})
+        self.lease.answered(desk, self.clocks.steady(), now, welcome.given)
+        if welcome.book is not None:
+            self.hear(welcome.book)
+        self._look()
+
+    def may_act(self, now: int) -> bool:
+        """As `may_take`, without counting or a word in the log."""
+        return self.lease.fresh(now) and self._epoch_in_force == self.lease.epoch
+
+    def hear(self, book: Book) -> None:
+        """A book of orders, from a desk or a gateway."""
+        if book.fleet and not self.book.fleet:
+            self.book = self.follower.book = Book(book.fleet, book.gateways, book.base_lease_ms)
+            self._keep_standing()
+        if orders.newer(self.book, book):
+            self.book = book
+            self._keep_standing()
+            self._do(self.follower.hear(self.clocks.steady(), book))
+            self._hasten()
+
+    def _hasten(self) -> None:
+        for one in self._hurry:
+            one.set()
+
+    def _look(self) -> None:
+        """Whether what was heard changes what this gateway may do."""
+        barred = self.lease.barred()
+        if barred and barred <= self.book.number and barred > self.lease.epoch:
+            self.log.warning("acts in the earlier epoch no more", epoch=barred)
+            self.lease.move(barred)
+            # Danger: desks believe a gateway that asks for the new epoch; the disk must know by then.
+            self._spawn(self._moved())
+        if self.lease.fresh(self.clocks.steady()) and not self._let:
+            self._let = True
+            self._keep_standing()
+        if self.follower.may_take(self.lease.epoch):
+            self._do(self.follower.take(self.clocks.steady(), "let"))
+
+    _let = True
+
+    async def _moved(self) -> None:
+        self._let = False
+        await self._keep_now()
+        self._hasten()
+
+    # Orders.
+
+    def _do(self, effect: str) -> None:
+        if effect == "fetch":
+            self._spawn(self._fetch(self.follower.taking))
+        elif effect == "check":
+            self._check()
+        elif effect == "keep":
+            self._spawn(self._keep())
+        elif effect == "look":
+            self._hasten()
+            self._look()
+        elif effect == "take":
+            self._take()
+
+    async def _fetch(self, number: int) -> None:
+        order = self.follower.order
+        name = order.settings if order is not None else ""
+        found = self._start.own if not name else await self._find(name)
+        if number != self.follower.taking or self.follower.state != "fetching":
+            return
+        now = self.clocks.steady()
+        if found is None:
+            self._do(self.follower.take(now, "not had", "no desk and no gateway gives these settings"))
+        else:
+            self._pending, self._pending_name = found, name
+            self._do(self.follower.take(now, "got"))
+
+    async def _find(self, name: str) -> Deployment | None:
+        if self._start.files is not None:
+            try:
+                raw = await self.scribe.ask(lambda files: files.named(f"settings {name}"))
+                if isinstance(raw, bytes):
+                    return parse(raw.decode("utf-8"))
+            except (sqlite3.Error, BadSettings, UnicodeDecodeError):
+                pass
+        for address in [*self.desks, *(address for _, address in self.peers.values())]:
+            target = f"/fleet/v1/settings/{name}".encode()
+            try:
+                status, _, body = await Whole.of(self._pool, address, b"GET", target, within=self._beat_s)
+                if status == 200 and digest(found := parse(body.decode("utf-8"))) == name:
+                    return found
+            except (ConnectionError, TimeoutError, UnicodeDecodeError):
+                continue
+            except BadSettings as why:
+                self.log.warning("settings of the order cannot be read by this build", why=str(why))
+                self._unread = str(why)
+        return None
+
+    _unread = ""
+
+    def _check(self) -> None:
+        why = needs_restart(self.settings, self._pending)
+        now = self.clocks.steady()
+        if why:
+            self._spawn(self._keep_for_restart())
+            self._do(self.follower.take(now, "unusable", why))
+        else:
+            self._do(self.follower.take(now, "usable"))
+
+    async def _keep_for_restart(self) -> None:
+        await self._keep_settings(self._pending_name, self._pending)
+
+    async def _keep(self) -> None:
+        why = await self._keep_settings(self._pending_name, self._pending)
+        now = self.clocks.steady()
+        self._do(self.follower.take(now, "not kept" if why else "kept", why))
+
+    async def _keep_settings(self, name: str, found: Deployment) -> str:
+        if not name:
+            return ""
+        body = canonical(found)
+        try:
+            await self.scribe.ask(lambda files: files.keep(f"settings {name}", body))
+        except (sqlite3.Error, LookupError) as why:
+            return f"the disk does not take them: {why}"
+        return ""
+
+    def _take(self) -> None:
+        number, found, name = self.follower.taking, self._pending, self._pending_name
+        epoch = orders.epoch_at(self.book, number)
+        settings = digest(found)
+
+        def taken() -> None:
+            self.settings, self._settings_name, self._digest = found, name, settings
+            self._epoch_in_force = epoch
+            self.lease.needs(self._length(found))
+            self._around.change_settings(found)
+            self.log.info("order in force", order=number, settings=settings[:12])
+            self._do(self.follower.take(self.clocks.steady(), "taken"))
+            self._keep_standing()
+            self._hasten()
+
+        self._turn(taken, settings=settings, order=number, epoch=epoch)
+
+    # The disk.
+
+    def _standing(self) -> Standing:
+        return Standing(
+            self.book,
+            self.follower.in_force,
+            self._settings_name,
+            self.lease.epoch,
+            self._let,
+            self.life,
+        )
+
+    def _keep_standing(self) -> None:
+        self._spawn(self._keep_now())
+
+    async def _keep_now(self) -> None:
+        try:
+            body = msgspec.msgpack.encode(self._standing())
+            await self.scribe.ask(lambda files: files.keep("standing", body))
+        except (sqlite3.Error, LookupError) as why:
+            self._trouble(f"what is in force is not kept: {why}")
+
+    async def _look_after(self) -> None:
+        while not self._closed:
+            await asyncio.sleep(self._beat_s / 4)
+            self._do(self.follower.ring(self.clocks.steady()))
+            self._look()
+
+    # The operators' listener.
+
+    def application(self, exchange: Exchange, path: str) -> bool:
+        """Answer a desk, a gateway or an operator, if this is for them."""
+        if exchange.method != b"GET" or not path.startswith("/fleet/v1/"):
+            return False
+        what = path.removeprefix("/fleet/v1/")
+        if what == "status":
+            stamp, now = self.stamp(), self.clocks.steady()
+            told = {
+                "gateway": self.number,
+                "life": self.life,
+                "state": self.follower.state,
+                "why": self.follower.why,
+                "stamp": stamp,
+                "fresh": self.may_act(now),
+                "book": self.book.number,
+                "acts": self.ledger.acts,
+                "turned_away": self.turned_away,
+                "ledger": self.scribe.failing,
+            }
+            exchange.json(200, told)
+        elif what == "book":
+            exchange.json(200, self.book)
+        elif what.startswith("settings/"):
+            self._spawn(self._give(exchange, f"settings {what.removeprefix('settings/')}"))
+        elif what.startswith("playback/"):
+            self._spawn(self._tell(exchange, what.removeprefix("playback/")))
+        else:
+            return False
+        return True
+
+    async def _give(self, exchange: Exchange, name: str) -> None:
+        try:
+            body = await self.scribe.ask(lambda files: files.named(name))
+        except (sqlite3.Error, LookupError):
+            body = None
+        if isinstance(body, bytes):
+            exchange.respond(200, JSON, body)
+        else:
+            exchange.refuse(404, "these settings are not here")
+
+    async def _tell(self, exchange: Exchange, playback: str) -> None:
+        try:
+            found = await self.scribe.find(playback)
+        except (sqlite3.Error, LookupError) as why:
+            exchange.refuse(507, f"this gateway's ledger: {why}")
+            return
+        exchange.json(200, found)
+
+
+def split(address: str) -> Address:
+    """Name and port of `name:port`, with or without `http://`."""
+    name, _, port = address.removeprefix("http://").rpartition(":")
+    return name, int(port)
--- /dev/null
+++ b/burlmast/fleet/ledger_shell.py
@@ -0,0 +1,303 @@
+"""A gateway's ledger on its disk: SQLite in WAL mode, written in a thread of its own, never a write a
+request."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import sqlite3
+from collections.abc import Callable, Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+
+from burlmast.fleet.ledger import Ledger, Row
+from burlmast.fleet.words import ROWS_AT_ONCE, Placed
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS row (life TEXT NOT NULL, n INTEGER NOT NULL, body BLOB NOT NULL,
+    PRIMARY KEY (life, n)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS life (life TEXT PRIMARY KEY, place INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS placed (id INTEGER PRIMARY KEY, playback TEXT NOT NULL, body BLOB NOT NULL);
+CREATE INDEX IF NOT EXISTS placed_playback ON placed (playback);
+CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, body BLOB NOT NULL);
+"""
+LIVES = 16  # earlier lives that desks are still told of
+
+
+class FolderInUse(Exception):
+    """Another process holds this gateway's folder: two lives with one number."""
+
+
+class Lock:
+    """Holds a folder for one process; the kernel lets go when it dies."""
+
+    def __init__(self, folder: Path) -> None:
+        """Raises FolderInUse, OSError."""
+        folder.mkdir(parents=True, exist_ok=True)
+        self._file = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._file)
+            raise FolderInUse(f"{folder}: another process holds this folder") from None
+
+    def close(self) -> None:
+        """Let go."""
+        os.close(self._file)
+
+
+class Files:
+    """The tables; calls block and raise sqlite3.Error."""
+
+    def __init__(self, folder: Path) -> None:
+        """What is damaged is laid aside under another name and told in `damaged`. Raises OSError,
+        sqlite3.Error where the folder takes no file."""
+        self.damaged = ""
+        file = folder / "ledger.sqlite"
+        try:
+            self.base = self._open(file)
+        except sqlite3.DatabaseError as why:
+            if isinstance(why, sqlite3.OperationalError):
+                raise
+            self.damaged = f"{file}: {why}"
+            for name in (file, file.with_name(file.name + "-wal"), file.with_name(file.name + "-shm")):
+                if name.exists():
+                    os.replace(name, name.with_name(f"{name.name}.damaged-{os.getpid()}"))
+            self.base = self._open(file)
+
+    @staticmethod
+    def _open(file: Path) -> sqlite3.Connection:
+        base = sqlite3.connect(file, isolation_level=None, check_same_thread=False, timeout=2.0)
+        try:
+            base.execute("PRAGMA journal_mode=WAL")
+            base.execute("PRAGMA synchronous=FULL")
+            base.executescript(SCHEMA)
+            found = base.execute("PRAGMA quick_check").fetchone()[0]
+            if found != "ok":
+                raise sqlite3.DatabaseError(found)
+        except sqlite3.Error:
+            base.close()
+            raise
+        return base
+
+    def lives(self) -> dict[str, int]:
+        """The last lives and how many rows each has, oldest first."""
+        rows = self.base.execute("SELECT life FROM life ORDER BY place DESC LIMIT ?", (LIVES,)).fetchall()
+        count = "SELECT COALESCE(MAX(n), 0) FROM row WHERE life = ?"
+        return {life: self.base.execute(count, (life,)).fetchone()[0] for (life,) in reversed(rows)}
+
+    def rows(self, have: dict[str, int], most: int = ROWS_AT_ONCE) -> list[Row]:
+        """Rows that somebody who has so much lacks, of the last lives."""
+        found: list[Row] = []
+        for life in self.lives():
+            after = have.get(life, 0), most - len(found)
+            wanted = "SELECT body FROM row WHERE life = ? AND n > ? ORDER BY n LIMIT ?"
+            bodies = self.base.execute(wanted, (life, *after)).fetchall()
+            found += [msgspec.msgpack.decode(body, type=Row) for (body,) in bodies]
+        return found
+
+    def write(self, rows: Sequence[Row], placed: Sequence[Placed], most_placed: int) -> None:
+        """Keep rows and placements, all or nothing; on return they are on the disk."""
+        self.base.execute("BEGIN IMMEDIATE")
+        try:
+            for row in rows:
+                if row.n == 1:
+                    self.base.execute(
+                        "INSERT OR IGNORE INTO life SELECT ?, COALESCE(MAX(place), 0) + 1 FROM life",
+                        (row.life,),
+                    )
+                self.base.execute(
+                    "INSERT OR IGNORE INTO row VALUES (?, ?, ?)",
+                    (row.life, row.n, msgspec.msgpack.encode(row)),
+                )
+            self.base.executemany(
+                "INSERT INTO placed VALUES (NULL, ?, ?)",
+                [(one.playback, msgspec.msgpack.encode(one)) for one in placed],
+            )
+            self.base.execute(
+                "DELETE FROM placed WHERE id <= (SELECT COALESCE(MAX(id), 0) FROM placed) - ?", (most_placed,)
+            )
+            self.base.execute("COMMIT")
+        except BaseException:
+            with suppress(sqlite3.Error):
+                if self.base.in_transaction:
+                    self.base.execute("ROLLBACK")
+            raise
+
+    def placed(self, playback: str) -> list[Placed]:
+        """What is known of a playback, oldest first."""
+        found = self.base.execute("SELECT body FROM placed WHERE playback = ? ORDER BY id", (playback,))
+        return [msgspec.msgpack.decode(body, type=Placed) for (body,) in found.fetchall()]
+
+    def keep(self, name: str, body: bytes) -> None:
+        """Keep a named value; on return it is on the disk."""
+        self.base.execute("INSERT OR REPLACE INTO kept VALUES (?, ?)", (name, body))
+
+    def named(self, name: str) -> bytes | None:
+        """A value kept by name."""
+        row = self.base.execute("SELECT body FROM kept WHERE name = ?", (name,)).fetchone()
+        return bytes(row[0]) if row is not None else None
+
+    def close(self) -> None:
+        """Let go of the file."""
+        self.base.close()
+
+
+class Scribe:
+    """Writes one life's ledger: at most so often, off the loop."""
+
+    def __init__(
+        self,
+        files: Files | None,
+        ledger: Ledger,
+        every_s: float,
+        patience_s: float,
+        most_placed: int,
+        wall: Callable[[], int],
+        trouble: Callable[[str], None],
+    ) -> None:
+        """Must be made on a running loop. `patience_s` is how long a new stamp waits for a slow disk."""
+        self.files, self.ledger = files, ledger
+        self._every, self._patience, self._most = every_s, patience_s, most_placed
+        self._wall, self._trouble = wall, trouble
+        self._loop = asyncio.get_running_loop()
+        self._thread = ThreadPoolExecutor(1, "ledger")
+        self._placed: list[Placed] = []
+        self._waiting: list[tuple[int, Callable[[], None]]] = []
+        self._opened: list[Callable[[], None]] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._writing = False
+        self._again = False
+        self._closed = False
+        self.failing = ""
+        self.has: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Write the life's first row, and look after the rest from now on."""
+        if self.files is not None:
+            with suppress(sqlite3.Error):
+                self.has = self.files.lives()
+        self._write()
+
+    def turn(self, page: int, then: Callable[[], None]) -> None:
+        """Call `then` once this page is on the disk, or known not to be."""
+        self._waiting.append((page, then))
+        self._loop.call_later(self._patience, self._overdue, page)
+        self._write()
+
+    def _overdue(self, page: int) -> None:
+        if self._waiting and self._waiting[0][0] <= page:
+            self._fails(f"the disk takes longer than {self._patience} s")
+            self._open(page)
+
+    def _open(self, page: int) -> None:
+        while self._waiting and self._waiting[0][0] <= page:
+            number, then = self._waiting.pop(0)
+            self.ledger.open(number, self._wall())
+            then()
+
+    def placed(self, one: Placed) -> None:
+        """Remember under what a playback was placed."""
+        self._placed.append(one)
+
+    def _write(self) -> None:
+        if self._writing:
+            self._again = True
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._writing, self._again = True, False
+        rows, placed = self.ledger.rows(self._wall()), self._placed
+        self._placed = []
+        pages = max((row.page for row in rows if row.kind == "page"), default=0)
+        work = self._loop.run_in_executor(self._thread, self._keep, rows, placed)
+        work.add_done_callback(lambda done: self._written(done, rows, placed, pages))
+
+    def _keep(self, rows: list[Row], placed: list[Placed]) -> None:
+        if self.files is None:
+            raise OSError("there is no ledger on this disk")
+        if rows or placed:
+            self.files.write(rows, placed, self._most)
+
+    def _written(self, done: asyncio.Future[None], rows: list[Row], placed: list[Placed], pages: int) -> None:
+        self._writing = False
+        why = None if done.cancelled() else done.exception()
+        if why is not None:
+            self.ledger.lost(rows, f"{type(why).__name__}: {why}")
+            self._placed = (placed + self._placed)[-self._most :]
+            self._fails(f"{type(why).__name__}: {why}")
+        else:
+            self.ledger.kept(rows)
+            if rows:
+                self.has[rows[-1].life] = rows[-1].n
+            if self.failing:
+                self.failing = ""
+                self._trouble("the ledger is kept again")
+        self._open(pages)
+        if self._closed:
+            return
+        if self._again:
+            self._write()
+        else:
+            self._timer = self._loop.call_later(self._every, self._write)
+
+    def _fails(self, why: str) -> None:
+        if not self.failing:
+            self._trouble(f"the ledger is not kept: {why}; serving goes on")
+        self.failing = why
+
+    @property
+    def waits(self) -> bool:
+        """Whether a page is still on its way to the disk."""
+        return bool(self._waiting)
+
+    async def rows(self, have: dict[str, int]) -> list[Row]:
+        """Rows on the disk that somebody who has so much lacks. Raises as `ask`."""
+        found = await self.ask(lambda files: files.rows(have))
+        return found if isinstance(found, list) else []
+
+    async def find(self, playback: str) -> list[Placed]:
+        """Under what a playback was placed, oldest first. Raises as `ask`."""
+        unkept = [one for one in self._placed if one.playback == playback]
+        found = await self.ask(lambda files: files.placed(playback))
+        return [*(found if isinstance(found, list) else []), *unkept]
+
+    async def ask(self, question: Callable[[Files], object]) -> object:
+        """Read in the writer's thread. Raises sqlite3.Error, or LookupError without a disk."""
+        if self.files is None:
+            raise LookupError("there is no ledger on this disk")
+        return await self._loop.run_in_executor(self._thread, question, self.files)
+
+    def close(self) -> None:
+        """The life ends in order: its last rows are written before this returns."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self._thread.shutdown(wait=True)
+        self.ledger.end(self._wall())
+        if self.files is not None:
+            with suppress(sqlite3.Error, OSError):
+                self.files.write(self.ledger.rows(self._wall()), self._placed, self._most)
+            self.files.close()
+
+
+def read_rows(folders: Iterable[Path]) -> tuple[list[Row], list[str]]:
+    """All rows in gateways' folders, which may be in use, and what could not be read."""
+    rows: list[Row] = []
+    troubles: list[str] = []
+    for folder in folders:
+        file = folder / "ledger.sqlite"
+        try:
+            base = sqlite3.connect(f"file:{file}?mode=ro", uri=True)
+            try:
+                found = base.execute("SELECT body FROM row ORDER BY life, n").fetchall()
+                rows += [msgspec.msgpack.decode(body, type=Row) for (body,) in found]
+            finally:
+                base.close()
+        except (sqlite3.Error, msgspec.MsgspecError) as why:
+            troubles.append(f"{file}: {why}")
+    return rows, troubles
--- /dev/null
+++ b/burlmast/fleet/orders.py
@@ -0,0 +1,155 @@
+"""The fleet's orders: which settings are in force for whom, one after the other. Free of I/O.
+
+The book of orders is the register's value. Numbers only grow. A withdrawal is an order too, back to what
+was in force before, so that what is said of orders holds for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from burlmast.fleet.lease import Called
+
+MS = 1_000_000
+LONGEST = 64  # orders kept; older ones are in the ledgers
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Settings for the fleet or a part of it."""
+
+    number: int
+    request: str  # the operator's own id: the same request is one order
+    settings: str  # digest; empty for each gateway's own file
+    lease_ms: float  # how long they may be acted on without word from a majority of desks; 0: any time
+    apart: bool = False  # must not act beside what was in force before
+    part: tuple[int, ...] = ()  # gateways, empty for all
+    without: tuple[int, ...] = ()  # gateways that an operator vouches not to run
+    within_ms: float = 0.0  # from the order until it must be in force
+    given_at: int = 0  # wall clock of the desk, for people alone
+    undoes: int = 0
+
+
+class Book(msgspec.Struct, frozen=True):
+    """All orders that are kept; `base_lease_ms` is that of the gateways' own files."""
+
+    fleet: str = ""  # the fleet's name, from its beginning
+    gateways: int = 0
+    base_lease_ms: float = 0.0
+    orders: tuple[Order, ...] = ()
+
+    @property
+    def number(self) -> int:
+        """The last order's number."""
+        return self.orders[-1].number if self.orders else 0
+
+
+class Refused(Exception):
+    """An order that cannot be given: one line."""
+
+
+def read_book(raw: bytes) -> Book:
+    """The register's value. Raises Refused where it is none."""
+    if not raw:
+        return Book()
+    try:
+        return msgspec.json.decode(raw, type=Book)
+    except (msgspec.MsgspecError, RecursionError) as why:
+        raise Refused(f"not a book of orders: {why}") from None
+
+
+def write_book(book: Book) -> bytes:
+    """The register's value."""
+    return msgspec.json.encode(book)
+
+
+def give(book: Book, wanted: Order, after: int | None = None) -> Book:
+    """The book with one more order; the same request again changes nothing. With `after`, only where that is
+    still the last order. Raises Refused."""
+    if any(one.request == wanted.request for one in book.orders):
+        return book
+    if after is not None and after != book.number:
+        raise Refused(f"order {book.number} was given meanwhile; look at it, then order again")
+    if wanted.apart and wanted.part:
+        raise Refused("versions that must not mix cannot be ordered for a part: the rest acts on the other")
+    strangers = [one for one in (*wanted.part, *wanted.without) if not 0 <= one < book.gateways]
+    if strangers:
+        raise Refused(f"gateway {strangers[0]} is not of this fleet of {book.gateways}")
+    order = msgspec.structs.replace(wanted, number=book.number + 1)
+    return msgspec.structs.replace(book, orders=(*book.orders, order)[-LONGEST:])
+
+
+def withdraw(book: Book, number: int, request: str, given_at: int) -> Book:
+    """The book with an order that puts back what was in force before this one. Raises Refused."""
+    if any(one.request == request for one in book.orders):
+        return book
+    order = next((one for one in book.orders if one.number == number), None)
+    if order is None:
+        raise Refused(f"there is no order {number}")
+    if book.number != number:
+        raise Refused(f"order {book.number} came after it; withdraw that one, or order what is wanted")
+    before = standing(book.orders[: book.orders.index(order)], order.part)
+    if len(before) > 1:
+        raise Refused("its gateways followed different orders before; order for each what is wanted")
+    settings, lease = before[0] if before else ("", book.base_lease_ms)
+    back = Order(
+        0,
+        request,
+        settings,
+        lease,
+        order.apart,
+        order.part,
+        order.without,
+        order.within_ms,
+        given_at,
+        number,
+    )
+    return give(book, back)
+
+
+def standing(orders: Sequence[Order], part: tuple[int, ...]) -> list[tuple[str, float]]:
+    """The settings that the gateways of a part follow, each once; none where they follow their files."""
+    found: list[tuple[str, float]] = []
+    for order in reversed(orders):
+        covers = not order.part or (part and not [one for one in part if one not in order.part])
+        touches = not order.part or not part or [one for one in part if one in order.part]
+        if touches and (order.settings, order.lease_ms) not in found:
+            found.append((order.settings, order.lease_ms))
+        if covers:
+            break
+    return found
+
+
+def wanted(book: Book, gateway: int) -> Order | None:
+    """The order that a gateway has to follow, None for its own file."""
+    for order in reversed(book.orders):
+        if not order.part or gateway in order.part:
+            return order
+    return None
+
+
+def epoch_at(book: Book, number: int) -> int:
+    """The last order up to this number whose versions must not mix with those before; 0 for none."""
+    return max((one.number for one in book.orders if one.apart and one.number <= number), default=0)
+
+
+def shortest_lease(book: Book, below: int) -> float:
+    """The shortest lease of anything that may be in force before this order, 0 where something needs none."""
+    before = [one.lease_ms for one in book.orders if one.number < below]
+    cut = LONGEST if len(book.orders) < LONGEST else 0
+    return min([*before, book.base_lease_ms]) if cut else 0.0
+
+
+def newer(mine: Book, other: Book) -> bool:
+    """Whether another's copy of the book is the later one of the same fleet."""
+    return other.fleet == mine.fleet and other.number > mine.number
+
+
+def called(book: Book) -> Called:
+    """The last order whose versions must not mix, as leases are given by it."""
+    order = next((one for one in reversed(book.orders) if one.apart), None)
+    if order is None:
+        return Called()
+    shortest = int(shortest_lease(book, order.number) * MS)
+    return Called(order.number, shortest, int(order.within_ms * MS), order.without)
--- /dev/null
+++ b/burlmast/fleet/words.py
@@ -0,0 +1,129 @@
+"""What the processes of a fleet say to each other, as msgspec bodies over HTTP. Free of I/O.
+
+Every body is JSON. A word that is not understood is answered 400 and changes nothing; fields that are not
+known are passed over, so that builds of different age understand each other.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from burlmast.fleet.lease import Ask, Given
+from burlmast.fleet.ledger import Row
+from burlmast.fleet.orders import Book
+from burlmast.fleet.register import Ballot
+from burlmast.fleet.stamp import Stamp
+
+ROWS_AT_ONCE = 500
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """A gateway's word to a desk, each beat."""
+
+    ask: Ask
+    operators: str  # where its operators' listener is
+    stamp: Stamp
+    state: str  # of the follower
+    why: str
+    book: int  # the last order that it knows
+    acts: int
+    fresh: bool  # it takes new requests
+    left: float  # seconds until its lease is over; 0 where it needs none or has none
+    fleet: str = ""
+    has: dict[str, int] = {}  # its disk's lives: how many rows
+    rows: tuple[Row, ...] = ()
+
+
+class Welcome(msgspec.Struct, frozen=True):
+    """A desk's answer."""
+
+    given: Given
+    book: Book | None = None  # where the desk knows a later one
+    have: dict[str, int] = {}  # of the lives that the gateway named, how many rows are on the desk's disk
+    peers: tuple[tuple[int, str, str], ...] = ()  # gateways lately heard: number, life, address
+
+
+class Prepare(msgspec.Struct, frozen=True):
+    """See `register.prepare`."""
+
+    ballot: Ballot
+
+
+class Accept(msgspec.Struct, frozen=True):
+    """See `register.accept`."""
+
+    ballot: Ballot
+    value: bytes
+
+
+class Have(msgspec.Struct, frozen=True):
+    """How many rows of each life somebody has, so that the rest can be sent."""
+
+    have: dict[str, int]
+
+
+class Rows(msgspec.Struct, frozen=True):
+    """Rows of ledgers; each carries its life and number."""
+
+    rows: tuple[Row, ...]
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """An operator's order, with its settings in the one form."""
+
+    request: str
+    settings: str = ""  # canonical JSON; empty with `undo`
+    apart: bool = False
+    part: tuple[int, ...] = ()
+    without: tuple[int, ...] = ()
+    within_ms: float = 0.0
+    after: int | None = None
+    undo: int = 0  # the order to withdraw
+
+
+class Begin(msgspec.Struct, frozen=True):
+    """A fleet begins, or goes on with a book that was found after every desk lost its disk."""
+
+    book: Book
+
+
+class Member(msgspec.Struct, frozen=True):
+    """What a desk last heard of a life of a gateway; `age` seconds ago."""
+
+    gateway: int
+    life: str
+    operators: str
+    stamp: Stamp
+    state: str
+    why: str
+    order: int
+    fresh: bool
+    left: float
+    age: float
+    acts: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """All that a desk knows."""
+
+    desk: int
+    desks: int
+    voting: bool
+    floor: int
+    book: Book
+    members: tuple[Member, ...]
+    rows: int
+    contradictions: int
+    waits: str = ""
+
+
+class Placed(msgspec.Struct, frozen=True):
+    """Under what a playback was placed."""
+
+    playback: str
+    life: str
+    act: int
+    page: int
+    host: int
+    at: int
+    attempt: int
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -111,6 +111,11 @@
         "edge.notices.tries": one.edge.notices.tries,
         "edge.hostbook.write_ms": one.edge.hostbook.write_ms,
         "edge.hostbook.oldest_s": one.edge.hostbook.oldest_s,
+        "edge.fleet.beat_ms": one.edge.fleet.beat_ms,
+        "edge.fleet.ledger_ms": one.edge.fleet.ledger_ms,
+        "edge.fleet.slow_disk_ms": one.edge.fleet.slow_disk_ms,
+        "edge.fleet.placed": one.edge.fleet.placed,
+        "edge.fleet.again_ms": one.edge.fleet.again_ms,
         "edge.notices.at_once": one.edge.notices.at_once,
         "edge.notices.again_ms": one.edge.notices.again_ms,
         "edge.doorway.connections": one.edge.doorway.connections,
@@ -130,6 +135,13 @@
         yield "edge.doorway.crowded", "must be above 0 and at most 1"
     if not one.fleet.streams_by_kind or min(one.fleet.streams_by_kind) < 1:
         yield "fleet.streams_by_kind", "needs one kind at least, and 1 stream or more for each"
+    together = one.edge.fleet
+    if not 0 <= together.drift <= 0.2:
+        yield "edge.fleet.drift", "must be 0 to 0.2"
+    if together.again_longest_ms < together.again_ms:
+        yield "edge.fleet.again_longest_ms", "must not be under again_ms"
+    if 0 < together.lease_ms < 3 * together.beat_ms:
+        yield "edge.fleet.lease_ms", "must be 0 or three beats at least, or one lost word would shut out"
     if one.edge.redial_longest_ms < one.edge.redial_ms:
         yield "edge.redial_longest_ms", "must not be under redial_ms"
     low, high = one.stand_ins.lasts_s
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -109,6 +109,20 @@
     at_once: int = 8  # recordings asked for at a time
 
 
+class FleetTerms(Sheet, frozen=True):
+    """How this gateway goes with the others; of no meaning without desks."""
+
+    lease_ms: float = 0.0  # how long it may act without word from a majority of desks; 0: for any time
+    drift: float = 0.02  # the part by which clocks may run at another speed than true time
+    beat_ms: float = 1000.0  # between two words to each desk
+    ledger_ms: float = 5000.0  # between two writes of what was done, at most
+    slow_disk_ms: float = 250.0  # how long a new stamp waits for its place on the disk
+    placed: int = 200_000  # playbacks of which the ledger tells under what they were placed
+    again_ms: float = 500.0  # until what failed is tried again; it doubles
+    again_longest_ms: float = 30_000.0
+    within_ms: float = 10_000.0  # how long an order waits for stragglers where it does not say
+
+
 class Edge(Sheet, frozen=True):
     """How the gateway program runs."""
 
@@ -125,6 +139,7 @@
     list_quiet_ms: float = 5000.0
     notices: NoticeTerms = NoticeTerms()
     hostbook: HostbookTerms = HostbookTerms()
+    fleet: FleetTerms = FleetTerms()
 
 
 class StandIns(Sheet, frozen=True):
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -29,6 +29,7 @@
     rung: int
     rate: float
     lasts: float = 0.0
+    by: tuple[str, int, int, int] | None = None
 
 
 class RungChange(msgspec.Struct):
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -126,7 +126,7 @@
         api.SetUp(playback.number, 2, 0), api.SetRung(playback.number, 1), api.Abort(playback.number),
         api.Reject(playback.number, 0), api.Move(playback.number), api.CallOff(playback.number, 0),
     ]  # fmt: skip
-    driver._carry_out([api.SetAlarm(0, 1)])
+    driver._carry_out(driver._mind, [api.SetAlarm(0, 1)])
     driver.ring(START + 2 * MS)
     assert len(outside.answers) == 1 and len(outside.opened) == 1 and not outside.rungs
 
@@ -234,7 +234,7 @@
     playback = driver.arrive(START, WANTED, "reply")
     driver.flowing(START, outside.opened[0])
     script.answers[api.Bell] = lambda event: [api.Move(playback.number)]
-    driver._carry_out([api.SetAlarm(0, 5)])
+    driver._carry_out(driver._mind, [api.SetAlarm(0, 5)])
     driver.ring(START + 4 * SECOND)
     assert outside.closed == [outside.opened[0]] and script.of(api.Arrived)[1].request.moved
     driver.flowing(START + 5 * SECOND, outside.opened[1])
