Versions that must not mix are shut out by lease; the audit, holes stated; a relay under faults

Need: a gateway that is cut off, stopped past its lease or killed must not act on the old version once the new one acts anywhere; and afterwards nothing may be guessed. Change: hosts refuse set-ups under an earlier epoch (503, proven not run); `fleet acted`, `playback`, `audit` with one HTML page; a judge in world/fleet_audit.py that shares no code with the ledgers. A desk stops giving the old epoch once most of those that speak are ready: with most of the whole fleet asked for, three of six out at once held an order up for good (seen).

--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -6,6 +6,7 @@
 import secrets
 import sqlite3
 from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -13,8 +14,11 @@
 import msgspec
 
 from burlmast.commands.shared import PLACE, say, settings, until_interrupted
+from burlmast.fleet.ledger import Row, Shelf
+from burlmast.fleet.ledger_shell import read_rows
 from burlmast.fleet.orders import Book, Order
-from burlmast.fleet.words import Begin, Status, Wanted
+from burlmast.fleet.status import ranges
+from burlmast.fleet.words import Begin, Have, Placed, Rows, Status, Wanted
 from burlmast.http1.client import Address, Pool, Whole
 
 JSON = ((b"content-type", b"application/json"),)
@@ -232,3 +236,199 @@
     """The latest book that a desk has."""
     books = [one.book for one in found if isinstance(one, Status)]
     return max(books, key=lambda one: one.number, default=Book())
+
+
+async def rows_of(pool: Pool, desks: tuple[Address, ...]) -> tuple[list[Row], list[Row], list[str]]:
+    """All rows that desks have gathered, their contradictions, and desks that did not answer."""
+    shelf = Shelf()
+    silent: list[str] = []
+    contradictions: list[Row] = []
+    for address in desks:
+        where = f"desk {address[0]}:{address[1]}"
+        while True:
+            status, told = await call(
+                pool, address, "/fleet/v1/rows", msgspec.json.encode(Have(shelf.have()))
+            )
+            if status != 200:
+                silent.append(f"{where}: {reason(status, told)}")
+                break
+            if not shelf.take(msgspec.json.decode(told, type=Rows).rows):
+                break
+        status, told = await call(pool, address, "/fleet/v1/contradictions")
+        if status == 200:
+            contradictions += msgspec.json.decode(told, type=list[Row])
+    contradictions += [late for _, late in shelf.contradictions]
+    rows = [row for life in sorted(shelf.lives) for row in shelf.of(life)]
+    return rows, contradictions, silent
+
+
+STATE = click.option(
+    "--state",
+    type=click.Path(file_okay=False, exists=True),
+    default=None,
+    help="The gateways' folder, read beside what desks have.",
+)
+
+
+async def gather(
+    pool: Pool, desks: tuple[Address, ...], state: str | None
+) -> tuple[list[Row], list[Row], list[str]]:
+    """As `rows_of`, with the ledgers in a folder."""
+    rows, contradictions, troubles = await rows_of(pool, desks)
+    if state is not None:
+        there, more = read_rows(sorted(Path(state).glob("gateway-*")))
+        shelf = Shelf()
+        shelf.take([*rows, *there])
+        contradictions += [late for _, late in shelf.contradictions]
+        rows, troubles = [row for life in sorted(shelf.lives) for row in shelf.of(life)], troubles + more
+    return rows, contradictions, troubles
+
+
+@fleet.command()
+@DESKS
+@STATE
+@click.option("--version", default="", help="Under settings whose digest begins so, or an order's number.")
+@click.option("--gateway", type=click.IntRange(0), default=None)
+@click.option(
+    "--between",
+    nargs=2,
+    type=click.DateTime(),
+    default=None,
+    help="Two moments by the gateways' clocks, UTC.",
+)
+def acted(
+    desks: tuple[Address, ...],
+    state: str | None,
+    version: str,
+    gateway: int | None,
+    between: tuple[datetime, datetime] | None,
+) -> None:
+    """Who acted under what: ranges and counts, a JSON line each, and the holes among them."""
+    rows, _, troubles = ask(lambda pool: gather(pool, desks, state))
+    for trouble in troubles:
+        click.echo(f"fleet: {trouble}", err=True)
+    span = None
+    if between is not None:
+        first, last = (int(one.replace(tzinfo=UTC).timestamp() * 1e9) for one in between)
+        span = first, last
+    for line in ranges(rows, version, gateway, span):
+        say(line)
+
+
+@fleet.command()
+@click.argument("name")
+@DESKS
+def playback(name: str, desks: tuple[Address, ...]) -> None:
+    """By whom playback NAME was placed, under which stamp, on which host. Ends with 1 where nobody knows."""
+
+    async def work(pool: Pool) -> int:
+        found = await statuses(pool, desks)
+        addresses = {line.operators for one in found if isinstance(one, Status) for line in one.members}
+        rows, _, _ = await rows_of(pool, desks)
+        pages = {(row.life, row.page): row for row in rows if row.kind == "page"}
+        silent, told = [], 0
+        for operators in sorted(one for one in addresses if one):
+            host, _, port = operators.rpartition(":")
+            status, raw = await call(pool, (host, int(port)), f"/fleet/v1/playback/{name}", within=3.0)
+            if status != 200:
+                silent.append(operators)
+                continue
+            known: list[Placed] = msgspec.json.decode(raw, type=list[Placed])
+            for placed in known:
+                page = pages.get((placed.life, placed.page))
+                stamp = page.stamp if page is not None else None
+                gateway = page.gateway if page is not None else None
+                say({"gateway": gateway, **msgspec.structs.asdict(placed), "stamp": stamp})
+                told += 1
+        for operators in silent:
+            click.echo(
+                f"fleet: the gateway at {operators} does not answer; what it placed is not known", err=True
+            )
+        return 0 if told else 1
+
+    raise SystemExit(ask(work))
+
+
+@fleet.command("audit")
+@DESKS
+@STATE
+@click.option(
+    "--heard", type=click.Path(exists=True, dir_okay=False), multiple=True, help="JSON lines of hosts."
+)
+@click.option("--host", "hosts", type=PLACE, multiple=True, help="A host that tells what it heard; repeat.")
+@click.option("--slack", type=click.FloatRange(0), default=0.0, help="Seconds hosts' clocks may differ by.")
+@click.option("--page", type=click.Path(dir_okay=False), default=None, help="Write one HTML page here.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON line.")
+def audit_command(
+    desks: tuple[Address, ...],
+    state: str | None,
+    heard: tuple[str, ...],
+    hosts: tuple[Address, ...],
+    slack: float,
+    page: str | None,
+    as_json: bool,
+) -> None:
+    """Ledgers against what hosts heard. Ends with 1 where something cannot be, each with its evidence."""
+    from burlmast.fleet.status import rates_of
+    from burlmast.world import fleet_audit
+
+    async def work(pool: Pool) -> tuple[Any, ...]:
+        found = await statuses(pool, desks)
+        rows, contradictions, troubles = await gather(pool, desks, state)
+        set_ups: list[fleet_audit.Heard] = []
+        for host in hosts:
+            status, told = await call(pool, host, "/v1/heard")
+            if status != 200:
+                troubles.append(f"host {host[0]}:{host[1]}: {reason(status, told)}")
+            else:
+                set_ups += msgspec.json.decode(told, type=list[fleet_audit.Heard])
+        names = {row.stamp.settings for row in rows if row.stamp is not None}
+        bodies = {}
+        for name in sorted(names):
+            for address in desks:
+                status, told = await call(pool, address, f"/fleet/v1/settings/{name}", within=3.0)
+                if status == 200:
+                    bodies[name] = told
+                    break
+        return found, rows, contradictions, troubles, set_ups, bodies
+
+    found, rows, contradictions, troubles, set_ups, bodies = ask(work)
+    for file in heard:
+        try:
+            lines = Path(file).read_bytes().splitlines()
+            set_ups += [msgspec.json.decode(line, type=fleet_audit.Heard) for line in lines if line]
+        except (OSError, msgspec.MsgspecError) as why:
+            click.echo(f"fleet: {file}: {why}", err=True)
+            raise SystemExit(2) from None
+    book = book_of(found)
+    told = msgspec.convert([msgspec.to_builtins(row) for row in rows], list[fleet_audit.Row])
+    late = msgspec.convert([msgspec.to_builtins(row) for row in contradictions], list[fleet_audit.Row])
+    ordered = msgspec.convert([msgspec.to_builtins(one) for one in book.orders], list[fleet_audit.Ordered])
+    rates = rates_of(bodies)
+    verdict = fleet_audit.audit(told, set_ups, ordered, late, rates.get, int(slack * 1e9))
+    if page is not None:
+        from burlmast.fleet.page import write
+
+        write(Path(page), rows, book, verdict)
+    if as_json:
+        say({"verdict": verdict, "not read": troubles})
+    else:
+        for line in audit_lines(verdict, troubles):
+            click.echo(line)
+    raise SystemExit(1 if verdict.findings else 0)
+
+
+def audit_lines(verdict: Any, troubles: list[str]) -> list[str]:
+    """For a terminal."""
+    lines = [
+        f"{verdict.acts} acts in ledgers; hosts heard {verdict.set_ups} set-ups: {verdict.matched} told, "
+        f"{verdict.in_holes} in holes, {verdict.unsigned} of gateways that go alone"
+    ]
+    lines += [f"not read: {one}" for one in troubles]
+    for hole in verdict.holes:
+        upto = hole.last or "its end"
+        lines.append(
+            f"hole: gateway {hole.gateway}, life {hole.life}, acts {hole.first} to {upto}: {hole.why}"
+        )
+    lines += [f"FOUND {one.what}: gateway {one.gateway}: {one.evidence}" for one in verdict.findings]
+    return [*lines, f"{len(verdict.findings)} findings"]
--- a/burlmast/fleet/lease.py
+++ b/burlmast/fleet/lease.py
@@ -12,8 +12,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 import msgspec
 
 
@@ -52,12 +50,13 @@
 class Hold:
     """What a desk knows of one life of a gateway."""
 
-    __slots__ = ("count", "epoch", "free", "gave_free", "ready", "until")
+    __slots__ = ("count", "epoch", "free", "gave_free", "heard", "ready", "until")
 
     def __init__(self) -> None:
         self.count, self.epoch, self.ready = -1, 0, 0
         self.free = self.gave_free = False  # acts without a lease; may, by what this desk gave
         self.until = 0  # by this desk's clock, when the last that was given is over
+        self.heard = 0  # by this desk's clock, when it last asked
 
 
 class DeskLeases:
@@ -73,7 +72,7 @@
 
     def take(self, now: int, ask: Ask, called: Called) -> Given:
         """Answer a gateway. `floor` must be on the disk before a higher one is answered."""
-        hold = self._heard(ask)
+        hold = self._heard(now, ask)
         lowest = max(self.floor, self._switch(now, called))
         if ask.epoch < lowest:
             return Given(False, ask.epoch, 0, lowest, f"order {lowest} has taken its place, and must not mix")
@@ -88,7 +87,7 @@
             hold.gave_free = True
         return Given(True, ask.epoch, ask.length)
 
-    def _heard(self, ask: Ask) -> Hold:
+    def _heard(self, now: int, ask: Ask) -> Hold:
         if ask.before:
             self.holds.pop((ask.gateway, ask.before), None)
         hold = self.holds.setdefault((ask.gateway, ask.life), Hold())
@@ -96,21 +95,19 @@
             if ask.epoch > hold.epoch or (ask.length and not ask.free):
                 hold.gave_free = False
             hold.count, hold.epoch, hold.free, hold.ready = ask.count, ask.epoch, ask.free, ask.ready
+            hold.heard = now
         return hold
 
-    def ready(self, epoch: int, without: Sequence[int] = ()) -> int:
-        """How many gateways have said that they can act in this epoch."""
-        return len({key[0] for key, one in self.holds.items() if one.ready >= epoch} | set(without))
-
     def _switch(self, now: int, called: Called) -> int:
         """The epoch for which this desk gives nothing earlier: all are ready for it, or its time is up and
-        most are."""
+        most of those that speak are."""
         if called.epoch > self.switched:
             since = self._learnt.setdefault(called.epoch, now)
-            ready = self.ready(called.epoch, called.without)
+            spoke = {key[0]: hold for key, hold in sorted(self.holds.items()) if hold.heard >= since}
+            ready = {gateway for gateway, hold in spoke.items() if hold.ready >= called.epoch}
             # Danger: a version that few can use would shut out the whole fleet.
-            most = 2 * ready > self.gateways
-            if ready >= self.gateways or (most and now - since >= called.within):
+            most = 2 * len(ready) > len(spoke)
+            if len(ready | set(called.without)) >= self.gateways or (most and now - since >= called.within):
                 self.switched = called.epoch
         return self.switched
 
--- a/burlmast/fleet/orders.py
+++ b/burlmast/fleet/orders.py
@@ -89,10 +89,10 @@
         raise Refused(f"there is no order {number}")
     if book.number != number:
         raise Refused(f"order {book.number} came after it; withdraw that one, or order what is wanted")
-    before = standing(book.orders[: book.orders.index(order)], order.part)
+    before = standing(book.orders[: book.orders.index(order)], order.part, book.base_lease_ms)
     if len(before) > 1:
         raise Refused("its gateways followed different orders before; order for each what is wanted")
-    settings, lease = before[0] if before else ("", book.base_lease_ms)
+    settings, lease = before[0]
     back = Order(
         0,
         request,
@@ -108,17 +108,17 @@
     return give(book, back)
 
 
-def standing(orders: Sequence[Order], part: tuple[int, ...]) -> list[tuple[str, float]]:
-    """The settings that the gateways of a part follow, each once; none where they follow their files."""
+def standing(orders: Sequence[Order], part: tuple[int, ...], base_lease_ms: float) -> list[tuple[str, float]]:
+    """What the gateways of a part follow, each version once; an empty name is each gateway's own file."""
     found: list[tuple[str, float]] = []
     for order in reversed(orders):
-        covers = not order.part or (part and not [one for one in part if one not in order.part])
-        touches = not order.part or not part or [one for one in part if one in order.part]
+        covers = not order.part or (part and set(part) <= set(order.part))
+        touches = covers or not part or set(part) & set(order.part)
         if touches and (order.settings, order.lease_ms) not in found:
             found.append((order.settings, order.lease_ms))
         if covers:
-            break
-    return found
+            return found
+    return [*found, ("", base_lease_ms)]
 
 
 def wanted(book: Book, gateway: int) -> Order | None:
--- a/burlmast/fleet/status.py
+++ b/burlmast/fleet/status.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
+from burlmast.fleet.ledger import Row
 from burlmast.fleet.orders import Book, wanted
 from burlmast.fleet.words import Member, Status
 
@@ -115,3 +116,96 @@
     if told.waits:
         found.append(f"waits: {told.waits}")
     return found
+
+
+class Acted(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Acts of one gateway under one stamp, or acts that are not known."""
+
+    gateway: int
+    life: str
+    order: int
+    settings: str
+    first: int
+    last: int
+    counts: dict[str, int]
+    until: int  # wall clock of the gateway when this was written down, nanoseconds
+    hole: str = ""
+
+
+def ranges(
+    rows: Sequence[Row], version: str = "", gateway: int | None = None, span: tuple[int, int] | None = None
+) -> list[Acted]:
+    """Ranges under a version (settings by the beginning of their digest, or an order's number), of a
+    gateway, or written between two moments; those of one page that follow each other are one line."""
+    pages = {(row.life, row.page): row for row in rows if row.kind == "page"}
+    ended = {row.life for row in rows if row.kind == "end"}
+    found: list[Acted] = []
+    lives: dict[str, Row] = {}
+    for row in sorted(rows, key=lambda row: (row.gateway, row.life, row.n)):
+        lives[row.life] = row
+        if row.kind not in ("range", "gap") or (gateway is not None and row.gateway != gateway):
+            continue
+        page = pages.get((row.life, row.page))
+        stamp = page.stamp if page is not None else None
+        order, settings = (stamp.order, stamp.settings) if stamp is not None else (-1, "")
+        if version and not settings.startswith(version) and version != str(order):
+            continue
+        if span is not None and not span[0] <= row.at <= span[1]:
+            continue
+        line = Acted(
+            row.gateway, row.life, order, settings, row.first, row.last, dict(row.counts), row.at, row.why
+        )
+        last = found[-1] if found else None
+        same = last is not None and (last.life, last.order, last.settings, last.hole, last.last + 1) == (
+            line.life,
+            line.order,
+            line.settings,
+            line.hole,
+            line.first,
+        )
+        if same and last is not None:
+            counts = {
+                kind: last.counts.get(kind, 0) + line.counts.get(kind, 0)
+                for kind in sorted({*last.counts, *line.counts})
+            }
+            found[-1] = msgspec.structs.replace(line, first=last.first, counts=counts)
+        else:
+            found.append(line)
+    for life, row in sorted(lives.items()):
+        if life not in ended and not version and gateway in (None, row.gateway):
+            acts = max((one.last for one in rows if one.life == life), default=0)
+            why = "not known from here: the life has no end row"
+            found.append(Acted(row.gateway, life, -1, "", acts + 1, 0, {}, row.at, why))
+    return found
+
+
+def rates_of(bodies: Mapping[str, bytes]) -> dict[str, dict[tuple[int, int], float]]:
+    """The rate of each plan's rung, by the settings' digest."""
+    found = {}
+    for name, body in bodies.items():
+        one: Rates = msgspec.json.decode(body, type=Rates)
+        found[name] = {
+            (plan, rung): rate * terms.scale
+            for plan, terms in enumerate(one.plans)
+            for rung, rate in enumerate(one.ladder.rates_kb)
+        }
+    return found
+
+
+class RatePlan(msgspec.Struct):
+    """What of a plan a set-up shows."""
+
+    scale: float = 1.0
+
+
+class RateLadder(msgspec.Struct):
+    """What of the ladder a set-up shows."""
+
+    rates_kb: tuple[float, ...]
+
+
+class Rates(msgspec.Struct):
+    """What of settings a set-up shows."""
+
+    ladder: RateLadder
+    plans: tuple[RatePlan, ...]
--- a/burlmast/standin/mediahost.py
+++ b/burlmast/standin/mediahost.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 from urllib.parse import unquote
 
@@ -12,9 +13,11 @@
 from burlmast.http1.server import Bounds, Exchange, Server
 from burlmast.settings.sheets import Deployment
 from burlmast.world.box import Ailment, Box, Courses, Rack, host_id, true_rate
+from burlmast.world.fleet_audit import Heard
 from burlmast.world.traffic import HostUp, Record, RungSet, TryCame, TryOver
 
 MS = 1_000_000
+HEARD = 20_000  # set-ups that a host remembers for the audit
 NDJSON = (b"content-type", b"application/x-ndjson")
 
 
@@ -59,6 +62,8 @@
         self.streams: dict[str, Stream] = {}
         self.address = ""
         self.alive = False
+        self.floor = 0  # the highest epoch that it has heard of; nothing is set up under an earlier one
+        self.heard: deque[Heard] = deque(maxlen=HEARD)
 
     async def start(self, port: int = 0) -> None:
         """Listen. Raises OSError."""
@@ -81,6 +86,8 @@
             exchange.collect(65536, lambda body: self.set_up(exchange, body))
         elif parts[:2] == ["v1", "streams"] and len(parts) == 6 and exchange.method == b"PUT":
             exchange.collect(65536, lambda body: self.change(exchange, "/".join(parts[2:5]), body))
+        elif parts == ["v1", "heard"]:
+            exchange.json(200, list(self.heard))
         elif parts == ["v1", "load"]:
             if not self.box.ails.mute:
                 exchange.respond(200, (self.load_header(),))
@@ -116,9 +123,31 @@
                 words.plan,
                 words.title,
                 words.rung,
+                words.by,
+            )
+        )
+        late = words.by is not None and words.by[3] < self.floor
+        self.heard.append(
+            Heard(
+                now,
+                self.box.number,
+                words.gateway,
+                words.playback,
+                words.attempt,
+                words.plan,
+                words.rung,
+                words.rate,
+                words.by,
+                late,
             )
         )
         self.streams[stream.key] = stream
+        if late:
+            # Nothing ran: a gateway that does not know how late it is does no harm here.
+            self.end(stream, True, "late")
+            exchange.json(503, {"ran": False, "why": f"under an order before {self.floor}"})
+            return
+        self.floor = max(self.floor, words.by[3] if words.by is not None else 0)
         exchange.on_gone = lambda: self.end(stream, False, "closed")
         if self.box.pushed_over(now):
             self.fleet.fall(self.box.number)
--- a/burlmast/world/traffic.py
+++ b/burlmast/world/traffic.py
@@ -54,6 +54,7 @@
     plan: int
     title: str
     rung: int
+    by: tuple[str, int, int, int] | None = None  # life, page, act and epoch of a gateway of a fleet
 
 
 class TryOver(NamedTuple):
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -521,3 +521,107 @@
 )
 def test_a_load_that_is_not_one_is_left_out(raw: bytes) -> None:
     assert read_load([(b"cmsd-dynamic", raw)]) == Load()
+
+
+# Another policy in the same gateway.
+
+
+def passed_on(driver: Driver, now: int, tries: int = 3) -> Script:
+    """From now on another script decides."""
+    second = Script()
+    driver.change_policy(now, lambda now: second, tries, lambda row: 7)
+    return second
+
+
+def sends(script: Script) -> None:
+    script.answers[api.Arrived] = lambda event: [api.SetUp(event.request.pb, 1, 0)]
+
+
+def test_what_is_asked_and_never_tried_arrives_again_after_what_plays_is_handed_over() -> None:
+    driver, outside, script = driving()
+    waits = driver.arrive(START, WANTED, "waits")
+    sends(script)
+    plays = driver.arrive(START, WANTED, "plays")
+    driver.flowing(START, outside.opened[0])
+    second = passed_on(driver, START + SECOND)
+    kinds = [type(event) for _, event in second.heard]
+    assert kinds == [api.Listed, api.HandedOver, api.Note, api.Arrived]
+    assert second.of(api.HandedOver)[0] == api.HandedOver(Driver._request(plays, False), 1)
+    assert second.of(api.Arrived)[0].request.patience == 2 * SECOND
+    assert second.of(api.Listed)[0].scope is Scope.COMPLETE
+    assert {row.started for row in second.of(api.Listed)[0].rows} == {7}
+    before = len(script.heard)
+    driver.listed(START + SECOND, Scope.CHANGES, ROWS[:1], {})
+    driver.ring(START + 2 * SECOND)
+    assert len(script.heard) == before and waits.state == "asked"
+
+
+def test_a_try_that_is_out_at_the_change_plays_for_the_policy_that_follows() -> None:
+    driver, outside, script = driving()
+    sends(script)
+    playback = driver.arrive(START, WANTED, "reply")
+    second = passed_on(driver, START)
+    driver.flowing(START + MS, outside.opened[0])
+    assert [final.kind for _, final in outside.answers] == ["plays"]
+    driver.ended(START + SECOND, outside.opened[0], Ending.SERVED, Load())
+    assert [(one.attempt, one.final) for one in second.of(api.Ended)] == [(0, True)]
+    assert not script.of(api.Ended) and outside.over_with == [playback]
+
+
+def test_a_try_that_fails_after_the_change_is_answered_by_the_policy_that_sent_it_and_not_sent_again() -> (
+    None
+):
+    driver, outside, script = driving()
+    sends(script)
+    script.answers[api.Ended] = lambda event: (
+        [api.Reject(event.pb, 5)] if event.attempt == 2 else [api.SetUp(event.pb, 2, 0)]
+    )
+    driver.arrive(START, WANTED, "reply")
+    second = passed_on(driver, START)
+    driver.ended(START + MS, outside.opened[0], Ending.ERROR, Load())
+    assert [one.ending for one in script.of(api.Ended)] == [Ending.ERROR, Ending.MOOT, Ending.MOOT]
+    assert [final for _, final in outside.answers] == [Final("rejected", 5)]
+    assert len(outside.opened) == 1 and [one.final for one in second.of(api.Ended)] == [True]
+    assert not driver.held and not driver.asked
+
+
+def test_a_viewer_that_leaves_after_the_change_is_told_to_both_and_nothing_is_owed() -> None:
+    driver, outside, script = driving()
+    sends(script)
+    script.answers[api.Arrived] = lambda event: [
+        api.SetUp(event.request.pb, 1, 0), api.SetAlarm(10 * SECOND, 3)
+    ]  # fmt: skip
+    playback = driver.arrive(START, WANTED, "reply")
+    second = passed_on(driver, START)
+    driver.leave(START, playback)
+    assert script.of(api.ViewerLeft) and second.of(api.ViewerLeft) and not outside.answers
+    driver.ring(START + 20 * SECOND)
+    assert not script.of(api.Bell), "who owes nothing is not rung"
+
+
+def test_places_of_tries_are_counted_from_the_change() -> None:
+    driver, outside, script = driving()
+    sends(script)
+    script.answers[api.Ended] = lambda event: [api.SetUp(event.pb, 2, 0)]
+    playback = driver.arrive(START, WANTED, "reply")
+    driver.ended(START, outside.opened[0], Ending.ERROR, Load())
+    driver.flowing(START, outside.opened[1])
+    second = passed_on(driver, START)
+    driver.noted(START, outside.opened[1], api.News.SHARE, 0.5)
+    assert [one.attempt for one in second.of(api.Note)] == [0, 0]
+    second.answers[api.Bell] = lambda event: [api.Move(playback.number)]
+    driver._carry_out(driver._mind, [api.SetAlarm(0, 1)])
+    driver.ring(START + MS)
+    assert [(one.attempt, one.final) for one in second.of(api.Ended)] == [(0, True)]
+    assert [one.request.moved for one in second.of(api.Arrived)] == [True]
+
+
+def test_two_changes_while_a_try_is_out_leave_one_answer() -> None:
+    driver, outside, script = driving()
+    sends(script)
+    script.answers[api.Ended] = lambda event: [api.Abort(event.pb)]
+    driver.arrive(START, WANTED, "reply")
+    second, third = passed_on(driver, START), passed_on(driver, START + MS)
+    driver.ended(START + 2 * MS, outside.opened[0], Ending.BROKEN, Load())
+    assert [final.kind for _, final in outside.answers] == ["aborted"]
+    assert not second.of(api.Ended) and [one.final for one in third.of(api.Ended)] == [True]
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import time
+from itertools import pairwise
 from pathlib import Path
 
-from works import fleet_of, works
+import msgspec
+from works import Works, fleet_of, works
+
+from burlmast.fleet.ledger_shell import read_rows
+from burlmast.fleet.orders import Book
+from burlmast.world.fleet_audit import Ordered, Verdict, audit
+from burlmast.world.fleet_audit import Row as AuditRow
 
 
 def test_an_order_reaches_two_gateways_and_status_shows_both(tmp_path: Path) -> None:
@@ -26,3 +35,151 @@
             assert status == 201, told
 
     asyncio.run(run())
+
+
+class Traffic:
+    """Viewers that ask at all gateways, one after the other, until they are stopped."""
+
+    def __init__(self, here: Works, every: float = 0.02) -> None:
+        self.here, self.every = here, every
+        self.answers: list[tuple[float, int, int]] = []  # when, gateway, status
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._asking: set[asyncio.Task[None]] = set()
+
+    async def _run(self) -> None:
+        number = 0
+        while True:
+            task = asyncio.get_running_loop().create_task(self._ask(number % len(self.here.gateways)))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
+            number += 1
+            await asyncio.sleep(self.every)
+
+    async def _ask(self, gateway: int) -> None:
+        status, _ = await self.here.ask(gateway, lasts=0.3, viewer=f"v{gateway}")
+        self.answers.append((time.monotonic(), gateway, status))
+
+    def since(self, at: float, gateway: int) -> list[int]:
+        return [status for when, one, status in self.answers if when >= at and one == gateway]
+
+    async def stop(self) -> None:
+        self._task.cancel()
+        while self._asking:
+            await asyncio.wait(self._asking)
+
+
+async def judged(here: Works) -> Verdict:
+    """The audit of what all ledgers on disk say, against what all hosts heard; gateways have ended."""
+    rows, troubles = read_rows(sorted((here.folder / "state").glob("gateway-*")))
+    assert not troubles
+    heard = [one for host in here.fleet.hosts.values() for one in host.heard]
+    _, raw = await here.get(here.desks[0].address, "/fleet/v1/book")
+    book = msgspec.json.decode(raw, type=Book)
+    ordered = [Ordered(one.number, one.settings, one.apart, one.part) for one in book.orders]
+    told = msgspec.convert([msgspec.to_builtins(row) for row in rows], list[AuditRow])
+    return audit(told, heard, ordered)
+
+
+def apart(here: Works) -> str:
+    """By the hosts' own clock: a set-up that ran under an earlier epoch after one under a later; "" for
+    none. It reads what hosts recorded, and nothing that the fleet believes."""
+    ran = sorted(
+        (one.at, one.by[3], one.gateway)
+        for host in here.fleet.hosts.values()
+        for one in host.heard
+        if one.by is not None and not one.late
+    )
+    for (_, before, first), (_, after, second) in pairwise(ran):
+        if after < before:
+            return f"gateway {second} acted under {after} after gateway {first} under {before}"
+    return ""
+
+
+def test_versions_that_must_not_mix_do_not_while_parts_of_the_fleet_fail(tmp_path: Path) -> None:
+    """Six gateways, three desks, eight hosts: a new version while one gateway is cut off, one stopped for
+    longer than its lease, one killed and back, and one desk killed."""
+
+    async def run() -> None:
+        deployment = fleet_of(6, lease_ms=1200.0)
+        async with works(tmp_path, deployment, 3) as here:
+            traffic = Traffic(here)
+            await here.in_force(0, *range(6))
+            here.cut(1)
+            here.gateways[2].send(signal.SIGSTOP)
+            await here.gateways[3].kill()
+            await here.desks[2].kill()
+            code, told = await here.operate("order", here.version(), "--apart", "--within", "1")
+            assert code == 0, told
+            await here.in_force(1, 0, 4, 5)
+            began = time.monotonic()
+            await here.gateways[3].start()
+            await here.in_force(1, 3)
+            # Woken with a lease that is long over, it must not act before it has caught up.
+            here.gateways[2].send(signal.SIGCONT)
+            await here.in_force(1, 2)
+            sent_away = traffic.since(began, 1)
+
+            async def cut_off_is_sent_away() -> bool:
+                return 503 in traffic.since(began, 1)
+
+            await here.until(cut_off_is_sent_away)
+            assert 201 not in sent_away, "a gateway without a lease took a request"
+            here.heal()
+            await here.in_force(1, 1)
+            back = time.monotonic()
+
+            async def serves_again() -> bool:
+                return 201 in traffic.since(back, 1)
+
+            await here.until(serves_again)
+            await here.desks[2].start()
+            await traffic.stop()
+            for one in here.gateways:
+                await one.end()
+            verdict = await judged(here)
+            assert not verdict.findings, verdict.findings
+            assert verdict.matched + verdict.in_holes == verdict.set_ups and verdict.matched > 100
+            assert not apart(here)
+            epochs = {one.by[3] for one in here.came() if one.by is not None}
+            assert epochs == {0, 1}
+
+    asyncio.run(run())
+
+
+def test_with_all_desks_gone_nothing_changes_for_viewers_and_the_ledgers_are_whole_after(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(3), 3) as here:
+            await here.operate("order", here.version())
+            await here.in_force(1, 0, 1, 2)
+            for desk in here.desks:
+                await desk.kill()
+            traffic = Traffic(here)
+            gone = time.monotonic()
+            await here.gateways[1].kill()
+            await here.gateways[1].start()
+            await here.ready(1)
+
+            async def all_serve() -> bool:
+                return all(traffic.since(gone, number).count(201) >= 5 for number in range(3))
+
+            await here.until(all_serve)
+            assert (await here.own(1))["stamp"][4] == 1, "it starts with what it had"
+            await traffic.stop()
+            for desk in here.desks:
+                await desk.start()
+
+            async def gathered() -> bool:
+                told = await here.status()
+                lives = {(one.gateway, one.life) for one in told.members}
+                return len(lives) >= 3 and told.rows > 20 and told.book.number == 1
+
+            await here.until(gathered)
+            for one in here.gateways:
+                await one.end()
+            verdict = await judged(here)
+            assert not verdict.findings and verdict.matched >= 15
+            assert verdict.in_holes + verdict.matched == verdict.set_ups
+
+    asyncio.run(run())
