Membership in the manner of SWIM; orders pass from gateway to gateway; faults between processes

Need: a gateway that no desk reaches must hear of orders, and who is there must be known without desks. Change: burlmast/fleet/members.py (direct and indirect probes, suspicion, incarnations as a table), carried between the operators' listeners; a later book is read from whoever has it.

--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -9,6 +9,7 @@
 import secrets
 import sqlite3
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
@@ -21,9 +22,10 @@
 from burlmast.fleet.lease import Ask, GatewayLease
 from burlmast.fleet.ledger import Ledger
 from burlmast.fleet.ledger_shell import Files, FolderInUse, Lock, Scribe
+from burlmast.fleet.members import Members, Send
 from burlmast.fleet.orders import Book
 from burlmast.fleet.stamp import ListName, Stamp, canonical, digest
-from burlmast.fleet.words import Hello, Placed, Welcome
+from burlmast.fleet.words import Carried, Hello, Placed, Welcome
 from burlmast.http1.client import Address, Pool, Whole
 from burlmast.http1.server import Exchange
 from burlmast.settings.live import needs_restart
@@ -191,6 +193,17 @@
         for desk in range(len(self.desks)):
             self._spawn(self._speak(desk))
         self._spawn(self._look_after())
+        terms = self._start.own.edge.fleet
+        self.members = Members(
+            f"{self.number}.{self.life}",
+            operators,
+            self.clocks.steady(),
+            int(terms.probe_ms * MS),
+            terms.probes,
+            self.number + int(self.life[:6], 16),
+            lambda text: self.log.info("member", what=text),
+        )
+        self._spawn(self._mingle(terms.probe_ms / 5000))
         if not self.follower.caught_up:
             self._do(self.follower.take(self.clocks.steady(), "ordered"))
 
@@ -373,6 +386,56 @@
         await self._keep_now()
         self._hasten()
 
+    # Other gateways.
+
+    members: Members | None = None
+
+    async def _mingle(self, every: float) -> None:
+        while not self._closed:
+            if self.members is not None:
+                for number, (life, (host, port)) in sorted(self.peers.items()):
+                    self.members.joined(self.clocks.steady(), f"{number}.{life}", f"{host}:{port}")
+                self._carry(self.members.tick(self.clocks.steady()))
+            await asyncio.sleep(every)
+
+    def _carry(self, sends: list[Send]) -> None:
+        for send in sends:
+            body = msgspec.json.encode(Carried(send.words, self.book.number, self.operators))
+            self._spawn(self._post(split(send.address), body))
+
+    async def _post(self, address: Address, body: bytes) -> None:
+        with suppress(ConnectionError, TimeoutError, OSError):  # what is lost the probes see to
+            await Whole.of(self._pool, address, b"POST", b"/fleet/v1/word", JSON, body, within=self._beat_s)
+
+    def _heard_word(self, exchange: Exchange, body: bytes) -> None:
+        try:
+            carried: Carried = msgspec.json.decode(body, type=Carried)
+            address = split(carried.back)
+        except (msgspec.MsgspecError, RecursionError, ValueError) as why:
+            exchange.refuse(400, f"not understood: {why}")
+            return
+        exchange.respond(204)
+        if self.members is not None:
+            self._carry(self.members.take(self.clocks.steady(), carried.words))
+        if carried.book > self.book.number and not self._reading:
+            self._spawn(self._read_book(address))
+
+    _reading = False
+
+    async def _read_book(self, address: Address) -> None:
+        """Another gateway knows of a later order, which no desk has told here yet."""
+        self._reading = True
+        try:
+            status, _, told = await Whole.of(
+                self._pool, address, b"GET", b"/fleet/v1/book", within=self._beat_s
+            )
+            if status == 200:
+                self.hear(msgspec.json.decode(told, type=Book))
+        except (ConnectionError, TimeoutError, msgspec.MsgspecError) as why:
+            self.log.debug("book of another gateway", why=str(why))
+        finally:
+            self._reading = False
+
     # Orders.
 
     def _do(self, effect: str) -> None:
@@ -500,6 +563,9 @@
 
     def application(self, exchange: Exchange, path: str) -> bool:
         """Answer a desk, a gateway or an operator, if this is for them."""
+        if path == "/fleet/v1/word" and exchange.method == b"POST":
+            exchange.collect(65536, lambda body: self._heard_word(exchange, body))
+            return True
         if exchange.method != b"GET" or not path.startswith("/fleet/v1/"):
             return False
         what = path.removeprefix("/fleet/v1/")
@@ -516,6 +582,9 @@
                 "acts": self.ledger.acts,
                 "turned_away": self.turned_away,
                 "ledger": self.scribe.failing,
+                "members": {one.name: one.state for _, one in sorted(self.members.others.items())}
+                if self.members is not None
+                else {},
             }
             exchange.json(200, told)
         elif what == "book":
--- a/burlmast/fleet/words.py
+++ b/burlmast/fleet/words.py
@@ -10,6 +10,7 @@
 
 from burlmast.fleet.lease import Ask, Given
 from burlmast.fleet.ledger import Row
+from burlmast.fleet.members import Words
 from burlmast.fleet.orders import Book
 from burlmast.fleet.register import Ballot
 from burlmast.fleet.stamp import Stamp
@@ -127,3 +128,11 @@
     host: int
     at: int
     attempt: int
+
+
+class Carried(msgspec.Struct, frozen=True):
+    """A word of membership between gateways, and what the sender knows of orders; `back` is its address."""
+
+    words: Words
+    book: int
+    back: str
--- a/burlmast/settings/live.py
+++ b/burlmast/settings/live.py
@@ -26,6 +26,8 @@
     "edge": "sockets, files and limits are made by it at the start",
     "edge.fleet": "",
     "edge.fleet.beat_ms": "desks are spoken to by it",
+    "edge.fleet.probe_ms": "others are probed by it",
+    "edge.fleet.probes": "others are probed by it",
     "edge.fleet.drift": "leases are reckoned by it",
     "edge.fleet.ledger_ms": "the ledger is written by it",
     "stand_ins": "",  # of no meaning to a gateway
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -115,6 +115,8 @@
         "edge.fleet.ledger_ms": one.edge.fleet.ledger_ms,
         "edge.fleet.slow_disk_ms": one.edge.fleet.slow_disk_ms,
         "edge.fleet.placed": one.edge.fleet.placed,
+        "edge.fleet.probe_ms": one.edge.fleet.probe_ms,
+        "edge.fleet.probes": one.edge.fleet.probes,
         "edge.fleet.again_ms": one.edge.fleet.again_ms,
         "edge.notices.at_once": one.edge.notices.at_once,
         "edge.notices.again_ms": one.edge.notices.again_ms,
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -120,6 +120,8 @@
     placed: int = 200_000  # playbacks of which the ledger tells under what they were placed
     again_ms: float = 500.0  # until what failed is tried again; it doubles
     again_longest_ms: float = 30_000.0
+    probe_ms: float = 1000.0  # between two probes of other gateways
+    probes: int = 4  # in a row, answered to nobody, make a gateway gone
     within_ms: float = 10_000.0  # how long an order waits for stragglers where it does not say
 
 
--- /dev/null
+++ b/tests/test_fleet_members.py
@@ -0,0 +1,173 @@
+"""Membership: a plain network of members that loses, delays and doubles words, and cuts links."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from burlmast.fleet.members import ALIVE, GONE, SUSPECT, Members, News, Send, Words
+
+PERIOD = 1000
+
+
+class Net:
+    """Members and the words between them; a word costs 5 to 50 of a period's 1000."""
+
+    def __init__(self, number: int, seed: int, loss: float = 0.0) -> None:
+        self.dice, self.loss, self.now = random.Random(seed), loss, 0
+        self.members = [Members(str(n), str(n), 0, PERIOD, 4, 1000 * seed + n) for n in range(number)]
+        for one in self.members:
+            for other in self.members:
+                one.joined(0, other.name, other.address)
+        self.dead: set[int] = set()
+        self.passes: Callable[[int, int], bool] = lambda a, b: True
+        self.queue: list[tuple[int, int, int, Send]] = []
+        self.sent = self.bytes = self.count = 0
+        self.false_for: dict[tuple[str, str], int] = {}
+        self.longest_false = 0
+
+    def post(self, sender: int, sends: list[Send]) -> None:
+        for send in sends:
+            self.sent += 1
+            self.bytes += len(msgspec.json.encode(send.words))
+            if self.dice.random() >= self.loss and self.passes(sender, int(send.address)):
+                for _ in range(1 + (self.dice.random() < self.loss / 4)):  # some come twice
+                    self.count += 1
+                    due = self.now + self.dice.randrange(5, 50)
+                    heapq.heappush(self.queue, (due, self.count, int(send.address), send))
+
+    def run(self, periods: float, until: Callable[[], bool] = lambda: False) -> float:
+        """Periods that passed; it ends early where the condition holds."""
+        began, end = self.now, self.now + int(periods * PERIOD)
+        while self.now < end and not until():
+            self.now += 100
+            for n, one in enumerate(self.members):
+                if n not in self.dead:
+                    self.post(n, one.tick(self.now))
+            while self.queue and self.queue[0][0] <= self.now:
+                _, _, place, send = heapq.heappop(self.queue)
+                if place not in self.dead:
+                    self.post(place, self.members[place].take(self.now, send.words))
+            self._watch()
+        return (self.now - began) / PERIOD
+
+    def _watch(self) -> None:
+        """How long anybody holds a live member gone."""
+        for n, one in enumerate(self.members):
+            for other in one.others.values():
+                key = one.name, other.name
+                if n not in self.dead and int(other.name) not in self.dead and other.state == GONE:
+                    began = self.false_for.setdefault(key, self.now)
+                    self.longest_false = max(self.longest_false, self.now - began)
+                else:
+                    self.false_for.pop(key, None)
+
+    def all_hold(self, about: int, state: str) -> bool:
+        name = str(about)
+        return all(
+            one.state(name) == state
+            for n, one in enumerate(self.members)
+            if n not in self.dead and n != about
+        )
+
+
+@pytest.mark.parametrize(
+    ("number", "loss", "within"), [(3, 0.0, 10), (3, 0.2, 14), (40, 0.0, 14), (40, 0.2, 18)]
+)
+def test_a_death_is_known_to_all_and_no_live_member_is_held_gone(
+    number: int, loss: float, within: float
+) -> None:
+    net = Net(number, 1, loss)
+    net.run(15)
+    assert net.longest_false == 0
+    net.dead.add(0)
+    assert net.run(within, lambda: net.all_hold(0, GONE)) < within
+    assert net.longest_false == 0
+
+
+def test_what_a_member_sends_does_not_grow_with_their_number() -> None:
+    cost = {}
+    for number in (10, 60):
+        net = Net(number, 3, 0.2)
+        net.run(20)
+        cost[number] = net.sent / number / 20, net.bytes / number / 20
+    assert cost[60][0] < 1.3 * cost[10][0] < 10 and cost[60][1] < 1.6 * cost[10][1]
+
+
+def test_pairs_that_cannot_hear_each_other_are_held_alive_through_others() -> None:
+    net = Net(6, 4)
+    net.passes = lambda a, b: {a, b} not in ({0, 1}, {2, 3})
+    net.run(40)
+    assert net.longest_false == 0 and not any(one.state == SUSPECT for one in net.members[4].others.values())
+
+
+def test_one_way_links_do_not_make_anybody_gone() -> None:
+    net = Net(6, 5)
+    net.passes = lambda a, b: (a, b) != (0, 1)
+    net.run(40)
+    assert net.longest_false == 0
+
+
+def test_halves_that_were_apart_find_each_other() -> None:
+    net = Net(8, 6)
+    net.passes = lambda a, b: a // 4 == b // 4
+    net.run(40, lambda: all(one.state(str((n + 4) % 8)) == GONE for n, one in enumerate(net.members)))
+    assert net.all_hold(0, GONE) is False and net.members[5].state("0") == GONE
+    net.passes = lambda a, b: True
+    healed = net.run(60, lambda: all(net.all_hold(n, ALIVE) for n in range(8)))
+    assert healed < 60
+
+
+def test_one_that_is_cut_off_alone_holds_others_gone_later_than_they_hold_it() -> None:
+    net = Net(6, 7)
+    net.passes = lambda a, b: 0 not in (a, b)
+    assert net.run(30, lambda: net.all_hold(0, GONE)) < 20
+    assert not any(one.state == GONE for one in net.members[0].others.values())
+
+
+def test_all_start_again_at_once_under_new_lives() -> None:
+    net = Net(5, 8)
+    net.run(10)
+    net.members = [Members(str(n), str(n), net.now, PERIOD, 4, 77 + n) for n in range(5)]
+    for one in net.members:
+        one.joined(net.now, "0", "0")  # a desk names one of them
+    assert net.run(30, lambda: all(len(one.there()) == 4 for one in net.members)) < 30
+
+
+def test_old_news_does_not_raise_the_gone_nor_bury_the_live() -> None:
+    one = Members("a", "a", 0, PERIOD, 4, 1)
+    one.hear(0, News("b", "b", ALIVE, 3))
+    one.hear(0, News("b", "b", GONE, 2))
+    assert one.state("b") == ALIVE
+    one.hear(0, News("b", "b", GONE, 3))
+    one.hear(0, News("b", "b", ALIVE, 3))
+    assert one.state("b") == GONE
+    one.hear(0, News("b", "b", ALIVE, 4))
+    assert one.state("b") == ALIVE
+
+
+def test_who_is_held_gone_speaks_up_with_a_higher_incarnation() -> None:
+    one = Members("a", "a", 0, PERIOD, 4, 1)
+    told = News("b", "b", ALIVE, 0), News("a", "a", GONE, 2)
+    (answer,) = one.take(0, Words("probe", "b", 5, news=told))
+    assert answer.words.news[0] == News("a", "a", ALIVE, 3) and answer.words.count == 5
+
+
+def test_an_answer_of_somebody_else_proves_nothing() -> None:
+    one = Members("a", "a", 0, PERIOD, 4, 1)
+    one.joined(0, "b", "b")
+    one.joined(0, "c", "c")
+    sent: list[Send] = []
+    now = 0
+    while not sent:
+        now += 100
+        sent = one.tick(now)
+    probe = sent[0].words
+    other = "c" if sent[0].address == "b" else "b"
+    for name, there in ((other, True), (sent[0].address, False)):
+        one.take(now, Words("answer", name, probe.count, news=(News(name, name, ALIVE, 0),)))
+        assert (probe.count in one._probes) is there
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import shutil
 import signal
 import time
 from itertools import pairwise
 from pathlib import Path
 
 import msgspec
+import pytest
 from works import Works, fleet_of, works
 
 from burlmast.fleet.ledger_shell import read_rows
@@ -183,3 +185,174 @@
             assert verdict.in_holes + verdict.matched == verdict.set_ups
 
     asyncio.run(run())
+
+
+def test_a_gateway_that_no_desk_reaches_hears_the_order_from_another(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(3), 1) as here:
+            await here.acquainted()
+            here.cut(2)
+            await here.operate("order", here.version())
+            await here.in_force(1, 0, 1, 2)
+            status, _ = await here.ask(2)
+            assert status in (201, 503)
+            await here.gateways[0].kill()
+
+            async def known() -> bool:
+                found = [state for name, state in (await here.own(2))["members"].items() if name[0] == "0"]
+                return found == ["gone"]
+
+            await here.until(known)
+
+    asyncio.run(run())
+
+
+def test_one_that_cannot_use_the_version_stays_on_what_it_has_and_says_why(tmp_path: Path) -> None:
+    async def run() -> None:
+        deployment = fleet_of(3)
+        async with works(tmp_path, deployment, 1, gateways=False) as here:
+            edge = msgspec.structs.replace(deployment.edge, window=9)
+            other = tmp_path / "other.json"
+            other.write_bytes(msgspec.json.encode(msgspec.structs.replace(deployment, edge=edge)))
+            words = here.gateways[1].words
+            words[words.index("--settings") + 1] = str(other)
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(0, 1, 2)
+            await here.operate("order", here.version())
+            await here.in_force(1, 0, 2)
+
+            async def said() -> bool:
+                code, told = await here.operate("status")
+                line = "left behind: edge.window takes a restart"
+                return code == 1 and line in told and told.count("in force  order 1") == 2
+
+            await here.until(said)
+            assert (await here.own(1))["stamp"][4] == 0 and (await here.own(1))["fresh"]
+            # The restart that it asks for brings it up: the settings are on its disk.
+            await here.gateways[1].end()
+            await here.desks[0].kill()
+            await here.gateways[1].start()
+            await here.in_force(1, 1)
+
+    asyncio.run(run())
+
+
+def test_a_version_that_none_can_use_shuts_nobody_out(tmp_path: Path) -> None:
+    async def run() -> None:
+        deployment = fleet_of(3, lease_ms=1000.0)
+        async with works(tmp_path, deployment, 1) as here:
+            edge = msgspec.structs.replace(deployment.edge, window=9)
+            file = here.version(msgspec.structs.replace(deployment, edge=edge))
+            code, _ = await here.operate("order", file, "--apart", "--within", "0.2")
+            assert code == 0
+
+            async def all_left_behind() -> bool:
+                return all([(await here.own(n))["state"] == "left behind" for n in range(3)])
+
+            await here.until(all_left_behind)
+            traffic, began = Traffic(here), time.monotonic()
+
+            async def served_past_any_lease() -> bool:
+                return time.monotonic() - began > 1.5 and all(
+                    201 in traffic.since(began + 1.2, n) for n in range(3)
+                )
+
+            await here.until(served_past_any_lease)
+            await traffic.stop()
+            assert all([(await here.own(n))["fresh"] for n in range(3)])
+
+    asyncio.run(run())
+
+
+def test_two_operators_at_two_desks_give_two_orders_and_a_withdrawal_goes_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(3), 3) as here:
+            files = here.version(), here.version()
+            both = await asyncio.gather(*(here.operate_at(n, "order", file) for n, file in enumerate(files)))
+            assert [code for code, _ in both] == [0, 0], both
+            assert sorted(msgspec.json.decode(told)["order"] for _, told in both) == [1, 2]
+            await here.in_force(2, 0, 1, 2)
+            names = {(await here.own(n))["stamp"][1] for n in range(3)}
+            assert len(names) == 1
+            here.cut(2)  # half of the way: this one hears of the next order late
+            code, _ = await here.operate("order", here.version(), "--part", "0", "--part", "2")
+            await here.in_force(3, 0)
+            code, told = await here.operate("withdraw", "3")
+            assert code == 0, told
+            here.heal()
+            await here.in_force(4, 0, 2)
+            assert {(await here.own(n))["stamp"][1] for n in range(3)} == names
+            status = await here.status()
+            assert [one.number for one in status.book.orders] == [1, 2, 3, 4]
+
+    asyncio.run(run())
+
+
+def test_a_desk_that_loses_its_disk_is_filled_by_the_others(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(2), 3) as here:
+            await here.operate("order", here.version())
+            await here.in_force(1, 0, 1)
+
+            async def rows(desk: int) -> int:
+                return (await here.status(desk)).rows
+
+            async def gathered() -> bool:
+                return min([await rows(0), await rows(1)]) >= 4
+
+            await here.until(gathered)
+            await here.desks[0].kill()
+            shutil.rmtree(tmp_path / "desk-0")
+            await here.desks[1].kill()  # one alone cannot fill it, and must not try to
+            await here.desks[0].start()
+            await asyncio.gather(*(here.ask(n) for n in (0, 1)))
+            assert not (await here.status(0)).voting
+            code, told = await here.operate("order", here.version())
+            assert (code == 1 and "no majority" in told) or "blank" in told, told
+            await here.desks[1].start()
+
+            async def filled() -> bool:
+                told = await here.status(0)
+                return told.voting and told.book.number == 1 and told.rows >= 4
+
+            await here.until(filled)
+            code, told = await here.operate("order", here.version())
+            assert code == 0, told
+            await here.in_force(2, 0, 1)
+
+    asyncio.run(run())
+
+
+def test_clocks_minutes_apart_and_of_other_speeds_change_nothing(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(4, lease_ms=1000.0), 3, gateways=False) as here:
+            skews = (("300", "1.02"), ("-300", "0.98"), ("0", "1.0"), ("7200", "0.98"))
+            for one, (ahead, speed) in zip(here.gateways, skews, strict=True):
+                one.extra = ["--ahead", ahead, "--speed", speed]
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(0, 1, 2, 3)
+            traffic = Traffic(here)
+            here.cut(0)
+            await here.operate("order", here.version(), "--apart", "--within", "0.5")
+            await here.in_force(1, 1, 2, 3)
+            here.heal()
+            await here.in_force(1, 0)
+            await traffic.stop()
+            for one in here.gateways:
+                await one.end()
+            verdict = await judged(here)
+            assert not verdict.findings and not apart(here)
+
+    asyncio.run(run())
+
+
+def test_two_processes_with_one_number_cannot_share_a_folder(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(1), 1) as here:
+            twin = here._process("gateway", 0)
+            twin.words = here.gateways[0].words
+            twin.log = tmp_path / "twin.log"
+            with pytest.raises(AssertionError, match="another process holds this folder"):
+                await twin.start()
+
+    asyncio.run(run())
