--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -230,6 +230,10 @@
         found = self.driver.address(host)
         return split_address(found) if found else None
 
+    def programme_acts(self, version: int) -> None:
+        """Another version of the programme is in force."""
+        self.together.programme(version)
+
     def store_trouble(self, what: str) -> None:
         """The disk under the notices, or what stood on it, is not well."""
         self.log.error("notices", what=what)
--- a/burlmast/stitch/shell.py
+++ b/burlmast/stitch/shell.py
@@ -39,6 +39,9 @@
     def store_trouble(self, what: str) -> None:
         """The disk, or what stood on it, is not well."""
 
+    def programme_acts(self, version: int) -> None:
+        """Another version of the programme is in force."""
+
 
 class Shown:
     """A playback whose reel is kept."""
@@ -223,6 +226,7 @@
             self.register.stored()
 
     def _acts(self, one: Programme) -> None:
+        self._around.programme_acts(one.version)
         self.larder.stock(one, self._now())
 
     # Recordings.
