--- a/burlmast/badday/gateways.py
+++ b/burlmast/badday/gateways.py
@@ -1,4 +1,4 @@
-"""Gateways as processes of their own: started, killed, stopped and continued by their ids."""
+"""Gateways and desks as processes of their own: started, killed, stopped and continued by their ids."""
 
 from __future__ import annotations
 
@@ -22,8 +22,9 @@
 class Ready(msgspec.Struct):
     """What a gateway says once it listens."""
 
-    gateway: str
-    operators: str
+    gateway: str = ""
+    operators: str = ""
+    desk: str = ""
 
 
 def split_url(url: str) -> Address:
@@ -73,8 +74,8 @@
         except (TimeoutError, msgspec.MsgspecError) as why:
             await self.kill()
             raise NotStarted(f"gateway {self.number}: {why}") from None
-        self.url, self.operators = ready.gateway, ready.operators
-        self.address = split_url(ready.gateway)
+        self.url, self.operators = ready.gateway or ready.desk, ready.operators
+        self.address = split_url(self.url)
         self.record(GatewayIs(time.monotonic_ns(), self.number, "up"))
 
     @property
--- a/burlmast/badday/town.py
+++ b/burlmast/badday/town.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from burlmast.badday.desks import Quarters
 from burlmast.badday.gateways import GatewayProcess
 from burlmast.settings.sheets import Deployment
 from burlmast.standin.listservice import ListService
@@ -25,8 +26,11 @@
         options: tuple[str, ...] = (),
         logs: Path | None = None,
         noise: float = 0.0,
+        quarters: Quarters | None = None,
     ) -> None:
-        """`settings` is the file that each gateway reads, `options` are further words of its command line."""
+        """`settings` is the file that each gateway reads, `options` are further words of its command line;
+        with `quarters` the gateways are a fleet."""
+        self.quarters = quarters
         self.deployment = deployment
         delay = deployment.stand_ins.list_delay_ms / 1000
         self.list = ListService(record, delay)
@@ -41,9 +45,13 @@
         self.list_port = await self.list.start()
         await self.fleet.start()
         self.list.set_all(list(self.fleet.rows.values()))
+        if self.quarters is not None:
+            await self.quarters.start()
         for number in range(self._count):
             command = ["-m", "burlmast", "edge", "--settings", self._settings, "--number", str(number)]
             command += ["--list", f"127.0.0.1:{self.list_port}", "--operators", "127.0.0.1:0", *self._options]
+            for way in await self.quarters.ways(f"gateway {number}") if self.quarters is not None else ():
+                command += ["--fleet", way]
             log = str(self._logs / f"gateway-{number}.log") if self._logs else None
             self.gateways.append(GatewayProcess(number, command, self._record, log))
         await asyncio.gather(*(one.start() for one in self.gateways))
@@ -51,6 +59,8 @@
     async def close(self) -> list[int]:
         """End all of it; the gateways' exit codes."""
         codes = await asyncio.gather(*(one.stop() for one in self.gateways))
+        if self.quarters is not None:
+            await self.quarters.close()
         self.fleet.close()
         self.list.close()
         await asyncio.sleep(0)
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -334,3 +334,13 @@
     assert (
         subprocess.run(cli("check", "/nowhere"), capture_output=True, timeout=60, check=False).returncode == 2
     )
+
+
+def test_a_day_of_a_fleet_needs_desks_and_virtual_time_passes_its_troubles_over() -> None:
+    assert DAYS["fleet"].of_fleet and not DAYS["standard"].of_fleet
+    named = {one.kind for one in DAYS["fleet"].troubles}
+    assert named >= {kind for kind, what in KINDS.items() if what.strikes in ("words", "desks")}
+    day = Day("words", 3.0, (Trouble("cut off", 1, 1),))
+    deployment = sample()
+    played = model_play(ground(deployment), day, 1, Gateway, rulebook(deployment))
+    assert not played.verdict.broken
