--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import secrets
 import sqlite3
+import time
 from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime
 from pathlib import Path
@@ -128,8 +129,6 @@
 @click.option("--settings", "file", type=click.Path(), required=True, help="The gateways' own file.")
 def begin(desks: tuple[Address, ...], file: str) -> None:
     """A fleet begins: every desk must answer, and every disk must be blank."""
-    import time
-
     from burlmast.fleet.desk_shell import first_book
 
     book = first_book(settings(file), time.time_ns())
@@ -224,7 +223,7 @@
     from burlmast.fleet.status import lines, summary
 
     found = ask(lambda pool: statuses(pool, desks))
-    told = summary(found)
+    told = summary(found, time.time_ns())
     if as_json:
         say(told)
     else:
--- a/burlmast/edge/operators.py
+++ b/burlmast/edge/operators.py
@@ -45,6 +45,7 @@
             for what, count in sorted(counts.items()):
                 stitched.add_metric([what], count)
         yield stitched
+        shut_out = int(self._program.together.shut_out)
         for name, text, value in (
             ("burlmast_held", "Requests that are owed an answer", driver.asked),
             ("burlmast_playing", "Playbacks that play", driver.playing),
@@ -54,13 +55,15 @@
                 "Longest time from request to answer",
                 driver.longest_hold / 1e9,
             ),
+            ("burlmast_shut_out", "1 where it may not act until it has caught up", shut_out),
             ("burlmast_longest_stall_seconds", "Longest time the loop was late", self._program.longest_stall),
         ):
             yield GaugeMetricFamily(name, text, value)
 
 
 class Operators:
-    """`GET /metrics`, `/healthz` (the process runs) and `/readyz` (it has a list and takes requests)."""
+    """`GET /metrics`, `/healthz` (the process runs) and `/readyz` (it has a list and takes requests;
+    a gateway of a fleet that is shut out does not)."""
 
     def __init__(self, program: Program) -> None:
         self._program = program
@@ -87,7 +90,7 @@
         elif path == b"/healthz":
             exchange.json(200, {"runs": True})
         elif path == b"/readyz":
-            ready = self._program.ready
+            ready = self._program.ready and not self._program.together.shut_out
             exchange.json(200 if ready else 503, {"ready": ready})
         elif path == b"/v1/programme" and self._program.notices is not None:
             exchange.json(200, self._program.notices.register.in_force)
--- a/burlmast/edge/together.py
+++ b/burlmast/edge/together.py
@@ -23,6 +23,10 @@
     def may_take(self) -> bool:
         """Whether something new may be taken or sent at this very moment."""
 
+    @property
+    def shut_out(self) -> bool:
+        """As `may_take`, asked by operators: nothing is counted or logged."""
+
     @property
     def advice(self) -> int:
         """When to ask again where it may not, nanoseconds."""
@@ -47,6 +51,7 @@
     """A gateway by itself."""
 
     advice = 0
+    shut_out = False
 
     @classmethod
     def of(cls, program: object) -> Together:
--- a/burlmast/fleet/desk_store.py
+++ b/burlmast/fleet/desk_store.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import os
-import sqlite3
 from collections.abc import Iterable
-from contextlib import suppress
 from pathlib import Path
 
 import msgspec
 
+from burlmast.disk import open_base, roll_back
 from burlmast.fleet.ledger import Row
 from burlmast.fleet.register import Kept
 from burlmast.fleet.words import ROWS_AT_ONCE
@@ -30,36 +28,10 @@
         """A damaged file is laid aside and told in `damaged`: the desk is blank then, and votes only once it
         has been filled. Raises OSError, sqlite3.Error."""
         folder.mkdir(parents=True, exist_ok=True)
-        self.damaged = ""
-        file = folder / "desk.sqlite"
-        try:
-            self._base = self._open(file)
-        except sqlite3.DatabaseError as why:
-            if isinstance(why, sqlite3.OperationalError):
-                raise
-            self.damaged = f"{file}: {why}"
-            for name in (file, file.with_name(file.name + "-wal"), file.with_name(file.name + "-shm")):
-                if name.exists():
-                    os.replace(name, name.with_name(f"{name.name}.damaged-{os.getpid()}"))
-            self._base = self._open(file)
+        self._base, self.damaged = open_base(folder / "desk.sqlite", SCHEMA)
         count = "SELECT life, MAX(n) FROM row GROUP BY life"
         self.have: dict[str, int] = dict(self._base.execute(count).fetchall())
 
-    @staticmethod
-    def _open(file: Path) -> sqlite3.Connection:
-        base = sqlite3.connect(file, isolation_level=None, timeout=2.0)
-        try:
-            base.execute("PRAGMA journal_mode=WAL")
-            base.execute("PRAGMA synchronous=FULL")
-            base.executescript(SCHEMA)
-            found = base.execute("PRAGMA quick_check").fetchone()[0]
-            if found != "ok":
-                raise sqlite3.DatabaseError(found)
-        except sqlite3.Error:
-            base.close()
-            raise
-        return base
-
     def _named(self, name: str) -> bytes | None:
         row = self._base.execute("SELECT body FROM kept WHERE name = ?", (name,)).fetchone()
         return bytes(row[0]) if row is not None else None
@@ -115,9 +87,7 @@
                         )
             self._base.execute("COMMIT")
         except BaseException:
-            with suppress(sqlite3.Error):
-                if self._base.in_transaction:
-                    self._base.execute("ROLLBACK")
+            roll_back(self._base)
             raise
         self.have.update(fresh)
 
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -234,6 +234,11 @@
             self.turned_away += 1
         return fresh
 
+    @property
+    def shut_out(self) -> bool:
+        """Whether it takes nothing new now."""
+        return not self.may_act(self.clocks.steady())
+
     @property
     def advice(self) -> int:
         """When to come again, nanoseconds, for those that a gateway without lease sends away."""
--- a/burlmast/fleet/ledger_shell.py
+++ b/burlmast/fleet/ledger_shell.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from burlmast.disk import open_base, roll_back
 from burlmast.fleet.ledger import Ledger, Row
 from burlmast.fleet.words import ROWS_AT_ONCE, Placed
 
@@ -56,33 +57,7 @@
     def __init__(self, folder: Path) -> None:
         """What is damaged is laid aside under another name and told in `damaged`. Raises OSError,
         sqlite3.Error where the folder takes no file."""
-        self.damaged = ""
-        file = folder / "ledger.sqlite"
-        try:
-            self.base = self._open(file)
-        except sqlite3.DatabaseError as why:
-            if isinstance(why, sqlite3.OperationalError):
-                raise
-            self.damaged = f"{file}: {why}"
-            for name in (file, file.with_name(file.name + "-wal"), file.with_name(file.name + "-shm")):
-                if name.exists():
-                    os.replace(name, name.with_name(f"{name.name}.damaged-{os.getpid()}"))
-            self.base = self._open(file)
-
-    @staticmethod
-    def _open(file: Path) -> sqlite3.Connection:
-        base = sqlite3.connect(file, isolation_level=None, check_same_thread=False, timeout=2.0)
-        try:
-            base.execute("PRAGMA journal_mode=WAL")
-            base.execute("PRAGMA synchronous=FULL")
-            base.executescript(SCHEMA)
-            found = base.execute("PRAGMA quick_check").fetchone()[0]
-            if found != "ok":
-                raise sqlite3.DatabaseError(found)
-        except sqlite3.Error:
-            base.close()
-            raise
-        return base
+        self.base, self.damaged = open_base(folder / "ledger.sqlite", SCHEMA)
 
     def lives(self) -> dict[str, int]:
         """The last lives and how many rows each has, oldest first."""
@@ -123,9 +98,7 @@
             )
             self.base.execute("COMMIT")
         except BaseException:
-            with suppress(sqlite3.Error):
-                if self.base.in_transaction:
-                    self.base.execute("ROLLBACK")
+            roll_back(self.base)
             raise
 
     def placed(self, playback: str) -> list[Placed]:
--- a/burlmast/fleet/status.py
+++ b/burlmast/fleet/status.py
@@ -21,7 +21,8 @@
     state: str  # in force, on its way, left behind, shut out, silent, replaced
     why: str
     order: int
-    lags: int  # orders that it is behind
+    lags: int  # the order that it has to follow, less the one that it does
+    late: bool  # that order should be in force by now
     settings: str
     build: str
     lease_s: float  # 0 where none is needed
@@ -41,8 +42,8 @@
     well: bool
 
 
-def summary(found: Sequence[Status | str]) -> Summary:
-    """The latest word of each life, from whichever desk has it."""
+def summary(found: Sequence[Status | str], wall: int) -> Summary:
+    """The latest word of each life, from whichever desk has it; `wall` nanoseconds of the asker's clock."""
     heard = [one for one in found if isinstance(one, Status)]
     book = max((one.book for one in heard), key=lambda one: one.number, default=Book())
     latest: dict[tuple[int, str], Member] = {}
@@ -57,7 +58,8 @@
     rows = []
     for key in sorted(latest):
         order = wanted(book, key[0])
-        rows.append(_line(latest[key], newest[key[0]] == key[1], order.number if order else 0))
+        late = order is not None and wall > order.given_at + int(order.within_ms * 1e6)
+        rows.append(_line(latest[key], newest[key[0]] == key[1], order.number if order else 0, late))
     missing = tuple(one for one in range(book.gateways) if one not in newest)
     desks = tuple(_desk(place, one) for place, one in enumerate(found))
     current = [row for row in rows if row.state != "replaced"]
@@ -66,7 +68,7 @@
     return Summary(book.fleet, book.number, tuple(rows), missing, desks, waits, well)
 
 
-def _line(member: Member, newest: bool, order: int) -> Line:
+def _line(member: Member, newest: bool, order: int, late: bool) -> Line:
     lags = max(0, order - member.order)
     state = member.state
     if not newest:
@@ -85,6 +87,7 @@
         member.why,
         member.order,
         lags,
+        late and lags > 0 and newest,
         stamp.settings,
         stamp.build,
         round(member.left, 3),
@@ -107,6 +110,7 @@
     for row in told.gateways:
         lease = f", lease {row.lease_s:.1f} s" if row.lease_s else ""
         why = f": {row.why}" if row.why else ""
+        why += ", late" if row.late else ""
         found.append(
             f"gateway {row.gateway} {row.life[:6]}  {row.state}{why}  order {row.order}, settings "
             f"{row.settings[:12]}, build {row.build[:8]}{lease}, heard {row.heard_s:.1f} s ago"
--- a/burlmast/standin/relay.py
+++ b/burlmast/standin/relay.py
@@ -50,7 +50,7 @@
         state, now = self.link.state, self.link.loop.time()
         due = max(self._last, now + state.delay_s)
         if state.bytes_s:
-            due = max(due, self._last + len(data) / state.bytes_s)
+            due += len(data) / state.bytes_s
         self._last = due
         self._held.append((due, data))
         self.pump()
--- a/burlmast/stitch/store.py
+++ b/burlmast/stitch/store.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import os
 import sqlite3
 from collections.abc import Iterable, Iterator, Sequence
 from contextlib import closing
@@ -15,6 +14,7 @@
 
 import msgspec
 
+from burlmast.disk import open_base
 from burlmast.stitch.programme import Programme
 from burlmast.stitch.reel import Heard, Kept
 
@@ -75,32 +75,11 @@
 
     def _open(self, file: Path, schema: str) -> sqlite3.Connection:
         try:
-            return self._connect(file, schema)
-        except sqlite3.DatabaseError as why:
-            if isinstance(why, sqlite3.OperationalError):
-                raise StoreFault(f"{file}: {why}") from None
-            self.damaged.append(f"{file}: {why}")
-        for name in (file, file.with_name(file.name + "-wal"), file.with_name(file.name + "-shm")):
-            if name.exists():
-                os.replace(name, name.with_name(f"{name.name}.damaged-{os.getpid()}"))
-        try:
-            return self._connect(file, schema)
-        except sqlite3.Error as why:
+            base, damaged = open_base(file, schema)
+        except (sqlite3.Error, OSError) as why:
             raise StoreFault(f"{file}: {why}") from None
-
-    @staticmethod
-    def _connect(file: Path, schema: str) -> sqlite3.Connection:
-        base = sqlite3.connect(file, isolation_level=None, check_same_thread=False, timeout=2.0)
-        try:
-            base.execute("PRAGMA journal_mode=WAL")
-            base.execute("PRAGMA synchronous=FULL")
-            base.executescript(schema)
-            found = base.execute("PRAGMA quick_check").fetchone()[0]
-            if found != "ok":
-                raise sqlite3.DatabaseError(found)
-        except sqlite3.Error:
-            base.close()
-            raise
+        if damaged:
+            self.damaged.append(damaged)
         return base
 
     def programme(self) -> Programme:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -365,3 +365,28 @@
         code = f"import sys, {program}; print([n for n in sys.modules if n.startswith('burlmast.fleet')])"
         told = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, text=True).stdout
         assert told.strip() == "[]", f"{program} imports {told}"
+
+
+def test_a_gateway_whose_ledger_cannot_be_read_serves_and_says_so(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(1), 1, gateways=False) as here:
+            (tmp_path / "state" / "gateway-0" / "ledger.sqlite").mkdir(parents=True)
+            await here.gateways[0].start()
+            await here.ready(0)
+
+            async def plays() -> bool:
+                return (await here.ask(0))[0] == 201
+
+            await here.until(plays)
+            assert "there is no ledger on this disk" in (await here.own(0))["ledger"]
+            assert "unable to open" in here.gateways[0].log.read_text()
+            await here.operate("order", here.version())
+
+            async def left() -> bool:
+                return (await here.own(0))["state"] == "cannot keep"
+
+            await here.until(left)
+            by = [one.by for one in here.came()]
+            assert all(by) and (await here.own(0))["stamp"][4] == 0
+
+    asyncio.run(run())
