Faults planted in running gateways are named by the audit's command; news merge in any order

Four faults in a gateway's process (says the new and acts on the old, one name for two lives, drops ranges, ignores its lease) end `fleet audit` with 1 and the finding; without one it ends with 0. A set-up that a host refused as late is a finding too: its gateway should have been shut out. `fleet acted` and `fleet playback` are tested against processes. Membership: every order of all that can be said of a member in two incarnations comes to the same, explored whole.

--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -80,6 +80,7 @@
 )
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
+@click.option("--fleet-plant", type=click.IntRange(1, 4), default=None, hidden=True)
 def edge(
     file: str,
     number: int,
@@ -93,6 +94,7 @@
     desks: tuple[tuple[str, int], ...],
     ahead: float,
     speed: float,
+    fleet_plant: int | None,
 ) -> None:
     """Run one gateway until SIGTERM."""
     from burlmast.edge.program import Program, run
@@ -114,7 +116,7 @@
         if desks and folder is not None:
             from burlmast.fleet.join import joining
 
-            deployment, together = joining(deployment, number, folder, desks, ahead, speed)
+            deployment, together = joining(deployment, number, folder, desks, ahead, speed, fleet_plant)
         listens = (list_address, listen, operators)
         code = asyncio.run(run(deployment, number, *listens, say, maker, zone, seed, folder, together))
     except (StoreFault, FolderInUse) as why:
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -8,6 +8,7 @@
 import asyncio
 import secrets
 import sqlite3
+import zlib
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -200,7 +201,7 @@
             self.clocks.steady(),
             int(terms.probe_ms * MS),
             terms.probes,
-            self.number + int(self.life[:6], 16),
+            zlib.crc32(self.life.encode()),
             lambda text: self.log.info("member", what=text),
         )
         self._spawn(self._mingle(terms.probe_ms / 5000))
--- a/burlmast/fleet/join.py
+++ b/burlmast/fleet/join.py
@@ -35,6 +35,7 @@
     desks: tuple[Address, ...],
     ahead: float = 0.0,
     speed: float = 1.0,
+    plant: int | None = None,
 ) -> tuple[Deployment, Callable[[Host], FleetSide]]:
     """The settings in force from the start, and what makes the gateway's part in the fleet. Raises
     FolderInUse."""
@@ -43,6 +44,11 @@
 
     def made(program: Host) -> FleetSide:
         seed = secrets.randbits(63)
-        return FleetSide(number, start, list(desks), program.pool, program, clocks, build(), seed)
+        side = FleetSide(number, start, list(desks), program.pool, program, clocks, build(), seed)
+        if plant is not None:
+            from burlmast.fleet.plants import PLANTS
+
+            PLANTS[plant](side)
+        return side
 
     return start.deployment, made
--- a/burlmast/world/fleet_audit.py
+++ b/burlmast/world/fleet_audit.py
@@ -263,10 +263,11 @@
 
 
 def _apart(heard: Sequence[Heard], slack: int, findings: list[Finding]) -> None:
-    """A set-up that ran under an earlier epoch after one that ran under a later one, anywhere."""
+    """A set-up that was sent under an earlier epoch after one under a later one, anywhere. Where the host
+    refused it it did no harm, but its gateway should have been shut out."""
     began: dict[int, Heard] = {}
     for one in sorted(heard, key=lambda one: one.at):
-        if one.by is None or one.late:
+        if one.by is None:
             continue
         epoch = one.by[3]
         began.setdefault(epoch, one)
@@ -277,5 +278,6 @@
             told = (
                 f"host {one.host} heard playback {one.playback} of life {one.by[0]} under epoch {epoch}, "
                 f"{after:.1f} ms after host {other.host} heard one under a later epoch"
+                + (", and refused it" if one.late else "")
             )
             findings.append(Finding("acted under an order that must not mix", one.gateway, told))
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -5,6 +5,7 @@
 import heapq
 import random
 from collections.abc import Callable
+from itertools import combinations, permutations
 
 import msgspec
 import pytest
@@ -171,3 +172,32 @@
     for name, there in ((other, True), (sent[0].address, False)):
         one.take(now, Words("answer", name, probe.count, news=(News(name, name, ALIVE, 0),)))
         assert (probe.count in one._probes) is there
+
+
+def test_news_heard_in_every_order_and_twice_comes_to_the_same() -> None:
+    """Explored whole: all orders of all that can be said of a member in two incarnations."""
+    pieces = [News("b", "b", state, n) for state in (ALIVE, SUSPECT, GONE) for n in (0, 1)]
+    for size in range(1, len(pieces) + 1):
+        for some in combinations(pieces, size):
+            ends = set()
+            for order in permutations(some):
+                one = Members("a", "a", 0, PERIOD, 4, 1)
+                one.joined(0, "b", "b")
+                for news in (*order, order[0]):
+                    one.hear(0, news)
+                ends.add((one.state("b"), one.others["b"].incarnation))
+            assert len(ends) == 1, some
+
+
+def test_a_member_that_speaks_up_is_alive_to_all_whatever_else_is_on_its_way() -> None:
+    """Explored whole: what three held of it, in every order, with its own word anywhere among them."""
+    held = [News("b", "b", GONE, 0), News("b", "b", SUSPECT, 0), News("b", "b", ALIVE, 0)]
+    itself = Members("b", "b", 0, PERIOD, 4, 1)
+    itself.hear(0, held[0])
+    word = News("b", "b", ALIVE, itself.incarnation)
+    for order in permutations([*held, word]):
+        one = Members("a", "a", 0, PERIOD, 4, 1)
+        one.joined(0, "b", "b")
+        for news in order:
+            one.hear(0, news)
+        assert one.state("b") == ALIVE, order
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -390,3 +390,112 @@
             assert all(by) and (await here.own(0))["stamp"][4] == 0
 
     asyncio.run(run())
+
+
+async def audited(here: Works, *words: str) -> tuple[int, str]:
+    """`burlmast fleet audit` against the desks, the folder and every host."""
+    hosts = [word for host in here.fleet.hosts.values() for word in ("--host", host.address)]
+    return await here.operate("audit", "--state", str(here.folder / "state"), *hosts, *words)
+
+
+async def sent_late(here: Works) -> bool:
+    """Whether gateway 1 has sent something under the old epoch after the new one was heard."""
+    epochs = [one.by[3] for one in here.came() if one.by is not None]
+    return 1 in epochs and 0 in epochs[epochs.index(1) :]
+
+
+def louder(here: Works) -> str:
+    """A version by which the first plan is sent at another rate."""
+    plans = here.deployment.plans
+    other = msgspec.structs.replace(plans[0], scale=1.5)
+    return here.version(msgspec.structs.replace(here.deployment, plans=(other, *plans[1:])))
+
+
+@pytest.mark.parametrize(
+    ("plant", "what"),
+    [
+        (0, ""),
+        (1, "acts on another version than it says"),
+        (2, "one act, two set-ups"),
+        (3, "a range is missing"),
+        (4, "acted under an order that must not mix"),
+    ],
+)
+def test_the_audit_names_a_fault_planted_in_a_running_gateway(tmp_path: Path, plant: int, what: str) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(2, lease_ms=800.0), 1, gateways=False) as here:
+            if plant:
+                here.gateways[1].extra = ["--fleet-plant", str(plant)]
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(0, 1)
+            traffic = Traffic(here)
+
+            async def serves(number: int, since: float, times: int = 3) -> bool:
+                return traffic.since(since, number).count(201) >= times
+
+            await here.until(lambda: serves(1, 0.0, 10))
+            if plant == 4:
+                here.cut(1)
+            if plant == 2:
+                await here.gateways[1].kill()
+                await here.gateways[1].start()
+            words = ["--apart", "--within", "0.1"] if plant == 4 else []
+            code, told = await here.operate("order", louder(here), *words)
+            assert code == 0, told
+            await here.in_force(1, 0)
+            if plant != 4:
+                await here.in_force(1, 1)
+            began = time.monotonic()
+            await here.until(lambda: serves(0, began))
+            if plant != 4:
+                await here.until(lambda: serves(1, began))
+            else:
+                await here.until(lambda: sent_late(here))
+            await traffic.stop()
+            here.heal()
+            for one in here.gateways:
+                await one.end()
+            code, told = await audited(here, "--page", str(tmp_path / "page.html"))
+            if plant:
+                assert code == 1 and f"FOUND {what}: gateway 1" in told, told[-1500:]
+                assert what in (tmp_path / "page.html").read_text()
+            else:
+                assert code == 0 and "0 findings" in told, told[-1500:]
+
+    asyncio.run(run())
+
+
+def test_what_was_acted_and_one_playback_are_told_afterwards(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(2), 1) as here:
+
+            async def plays() -> bool:
+                status, told = await here.ask(1)
+                here.told = told
+                return status == 201
+
+            await here.until(plays)
+            name = here.told["playback"]
+            await here.operate("order", here.version())
+            await here.in_force(1, 0, 1)
+            await here.until(plays)
+            code, told = await here.operate("playback", name)
+            line = msgspec.json.decode(told.splitlines()[0])
+            assert code == 0 and line["gateway"] == 1 and line["stamp"][4] == 0
+            host = next(one.host for one in here.came() if one.playback == name)
+            assert line["host"] == host
+            code, told = await here.operate("playback", "nobody")
+            assert code == 1
+
+            async def gathered() -> bool:
+                code, told = await here.operate("acted", "--gateway", "1")
+                lines = [msgspec.json.decode(one) for one in told.splitlines()]
+                orders = [one["order"] for one in lines if "hole" not in one]
+                holes = [one for one in lines if "not known from here" in one.get("hole", "")]
+                return code == 0 and orders == [0, 1] and len(holes) == 1
+
+            await here.until(gathered)
+            code, told = await here.operate("acted", "--version", "1")
+            assert [msgspec.json.decode(one)["order"] for one in told.splitlines()] == [1]
+
+    asyncio.run(run())
--- a/tests/works.py
+++ b/tests/works.py
@@ -93,6 +93,7 @@
         self.gateways = [self._process("gateway", n) for n in range(deployment.gateways)]
         self.links: dict[tuple[str, str], Link] = {}
         self.versions = 0
+        self.told: dict = {}  # the last answer that a test keeps
 
     def _process(self, kind: str, number: int) -> Process:
         words = ["desk", "--settings", str(self.settings), "--number", str(number),
