--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -40,6 +40,7 @@
 
 JSON = ((b"content-type", b"application/json"),)
 BODY = 8 << 20
+FORGOTTEN = 3600 * 1_000_000_000  # nanoseconds after which a life that is not heard is shown no more
 TRIES = 12  # rounds of one change before it is given up
 Words = TypeVar("Words")
 
@@ -409,6 +410,9 @@
 
     async def _look_after(self) -> None:
         while True:
+            # Danger: every restart of a gateway is another life, and they would pile up over the years.
+            old = self.clocks.steady() - FORGOTTEN
+            self.members = {key: one for key, one in self.members.items() if one[0] >= old}
             for work in (self._fill, self._read, self._sync_rows, self._sync_settings):
                 await self._quietly(work)
             await asyncio.sleep(self.beat_s * (0.75 + self._pause(0) / self.beat_s))
--- a/burlmast/fleet/follow.py
+++ b/burlmast/fleet/follow.py
@@ -12,6 +12,7 @@
     ("fetching", "ordered"): ("fetching", "fetch"),
     ("fetching", "got"): ("checking", "check"),
     ("fetching", "not had"): ("waiting", "wait"),
+    ("fetching", "unusable"): ("left behind", ""),  # this build cannot read them
     ("waiting", "due"): ("fetching", "fetch"),
     ("waiting", "ordered"): ("fetching", "fetch"),
     ("checking", "usable"): ("keeping", "keep"),
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -464,13 +464,16 @@
         if number != self.follower.taking or self.follower.state != "fetching":
             return
         now = self.clocks.steady()
-        if found is None:
+        if found is None and self._unread:
+            self._do(self.follower.take(now, "unusable", f"this build cannot read them: {self._unread}"))
+        elif found is None:
             self._do(self.follower.take(now, "not had", "no desk and no gateway gives these settings"))
         else:
             self._pending, self._pending_name = found, name
             self._do(self.follower.take(now, "got"))
 
     async def _find(self, name: str) -> Deployment | None:
+        self._unread = ""
         if self._start.files is not None:
             try:
                 raw = await self.scribe.ask(lambda files: files.named(f"settings {name}"))
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -160,6 +160,12 @@
     assert one.hear(0, give(one.book, order("b"))) == "fetch" and one.taking == 2
 
 
+def test_settings_that_this_build_cannot_read_leave_it_behind() -> None:
+    one = follower(order("a"))
+    one.take(0, "unusable", "unknown field")
+    assert (one.state, one.why, one.ready) == ("left behind", "unknown field", 0)
+
+
 def test_an_order_that_comes_while_one_is_taken_is_followed_after_it() -> None:
     one = follower(order("a"))
     for what in ("got", "usable", "kept", "let"):
