--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -79,22 +79,11 @@
         self.handle: Any = None  # the shell's
 
 
-class Mind:
-    """What decides, and for how many requests it still owes an answer after another has taken its place."""
-
-    __slots__ = ("owes", "policy")
-
-    def __init__(self, policy: Policy) -> None:
-        self.policy, self.owes = policy, 0
-
-
 class Playback:
     """A request for a playback and what plays of it."""
 
     __slots__ = (
         "abandon",
-        "base",
-        "former",
         "heard",
         "number",
         "public",
@@ -116,8 +105,6 @@
         self.timeline = timeline
         self.abandon = now + wanted.patience
         self.heard = now
-        self.base = 0  # the place of the try that the decisions count as their first
-        self.former: Mind | None = None  # owes the answer, though it decides nothing new any more
 
     @property
     def out(self) -> list[Try]:
@@ -191,7 +178,7 @@
         self._timeline = timeline
         self._alarms: list[tuple[int, int, Alarm, Any]] = []
         self._count = 0
-        self._inbox: deque[tuple[Mind, api.Event]] = deque()
+        self._inbox: deque[api.Event] = deque()
         self._pumping = False
         self._addresses: dict[int, str] = {}
         self._has_list = False
@@ -203,14 +190,8 @@
         self.counts: Counter[str] = Counter()
         self._numbers = 0
         self._now = now
-        self._mind = Mind(policy(now))
-        self._rows: dict[int, api.HostRow] = {}
-        self._carry_out(self._mind, self.policy.begin(now))
-
-    @property
-    def policy(self) -> Policy:
-        """What decides now."""
-        return self._mind.policy
+        self.policy = policy(now)
+        self._carry_out(self.policy.begin(now))
 
     # Time.
 
@@ -234,10 +215,8 @@
         self._count += 1
         heappush(self._alarms, (due, self._count, kind, thing))
 
-    def _bell(self, now: int, thing: tuple[Mind, int]) -> None:
-        mind, token = thing
-        if mind is self._mind or mind.owes:
-            self._hand(now, api.Bell(token), mind)
+    def _bell(self, now: int, token: int) -> None:
+        self._hand(now, api.Bell(token))
 
     def _try_due(self, now: int, one: Try) -> None:
         if one.state == "out":
@@ -348,30 +327,20 @@
             self._step(now, playback, "stream over", one)
         final = playback.state != "asked"
         took = max(0, now - one.sent_at)
-        former = playback.former
-        if former is not None and not final:
-            self._hand(
-                now, api.Ended(playback.number, one.place, one.host, ending, took, final, load), former
-            )
-            final = True  # whoever decides now counted it as playing
-        place = one.place - playback.base
-        if place >= 0:
-            self._hand(now, api.Ended(playback.number, place, one.host, ending, took, final, load))
+        self._hand(now, api.Ended(playback.number, one.place, one.host, ending, took, final, load))
         self._tidy(playback)
 
     def noted(self, now: int, one: Try, news: api.News, value: float) -> None:
         """The host tells of a stream's delivery, link or uplink."""
         if one.state != "ended":
-            place = one.place - one.playback.base
-            self._hand(now, api.Note(one.playback.number, place, one.host, news, value))
+            self._hand(now, api.Note(one.playback.number, one.place, one.host, news, value))
 
     def rung_stays(self, now: int, one: Try, rung: int) -> None:
         """A change of rung did not reach the host; this one is in force."""
         if one.state == "flowing" and one.playback.state == "playing":
             one.rung = one.playback.rung = rung
             one.playback.timeline.step(now, rung)
-            place = one.place - one.playback.base
-            self._hand(now, api.Note(one.playback.number, place, one.host, api.News.RUNG, float(rung)))
+            self._hand(now, api.Note(one.playback.number, one.place, one.host, api.News.RUNG, float(rung)))
 
     def probed(self, now: int, host: int, ending: Ending, took: int, load: api.Load) -> None:
         """What came of a probe."""
@@ -388,83 +357,31 @@
                 # started has no streams whose breaking would tell it.
                 scope, self._has_list = api.Scope.CACHED, True
         self._addresses.update(where)
-        if scope in (api.Scope.COMPLETE, api.Scope.CACHED):
-            self._rows = {}
-        self._rows.update((row.host, row) for row in rows)
         self._hand(now, api.Listed(scope, rows))
 
-    # Other decisions in the same gateway.
-
-    def change_policy(
-        self, now: int, policy: Callable[[int], Policy], tries: int, started: Callable[[api.HostRow], int]
-    ) -> None:
-        """From now on another policy decides. It hears of the hosts as the list last told them, each with
-        the latest moment at which it may have `started`; of what plays and what has a try out as handed
-        over; and of what has never been tried as arrived. A request with a try behind it is still answered
-        by the policy that sent it, which sends nothing any more: each set-up that it asks for is moot."""
-        if self.failed:
-            return
-        former, self._most_tries = self._mind, tries
-        self._mind = Mind(policy(now))
-        self._carry_out(self._mind, self.policy.begin(now))
-        rows = tuple(row._replace(started=started(row)) for row in self._rows.values())
-        self._hand(now, api.Listed(api.Scope.COMPLETE, rows))
-        untried = [one for one in self.held.values() if one.state == "asked" and not one.tries]
-        for playback in list(self.held.values()):
-            if playback not in untried:
-                self._pass_on(now, playback, former)
-        # Danger: what plays holds seats and room; what is new must not be placed before that is known.
-        for playback in untried:
-            if playback.state == "asked" and not playback.tries:
-                request = self._request(playback, playback.public in self.shown)
-                self._hand(now, api.Arrived(request._replace(patience=max(1, playback.abandon - now))))
-
-    def _pass_on(self, now: int, playback: Playback, former: Mind) -> None:
-        if playback.state == "asked" and playback.former is None:
-            playback.former = former
-            former.owes += 1
-        if playback.state in ("asked", "playing") and playback.out:
-            one = playback.out[-1]
-            playback.base = one.place
-            self._hand(now, api.HandedOver(self._request(playback, moved=False), one.host))
-            self._hand(now, api.Note(playback.number, 0, one.host, api.News.RUNG, float(playback.rung)))
-        else:
-            playback.base = len(playback.tries)
-
-    def _settled(self, playback: Playback) -> None:
-        """No answer is owed any more."""
-        if playback.former is not None:
-            playback.former.owes -= 1
-            playback.former = None
-
     # Between the two.
 
-    def _hand(self, now: int, event: api.Event, mind: Mind | None = None) -> None:
+    def _hand(self, now: int, event: api.Event) -> None:
         # Danger: an action may bring an event at once (a host that is not listed any more); it waits its
         # turn, so that the decisions never hear of anything while they decide.
-        self._inbox.append((mind or self._mind, event))
+        self._inbox.append(event)
         if self._pumping or self.failed:
             return
         self._pumping = True
         try:
             while self._inbox and not self.failed:
-                mind, event = self._inbox.popleft()
+                event = self._inbox.popleft()
                 self._now = now
                 try:
-                    self._carry_out(mind, mind.policy.take(now, event))
+                    self._carry_out(self.policy.take(now, event))
                 except Exception as why:
                     self._fail(now, event, why)
         finally:
             self._pumping = False
 
-    def _carry_out(self, mind: Mind, actions: list[api.Action]) -> None:
+    def _carry_out(self, actions: list[api.Action]) -> None:
         for action in actions:
-            if type(action) is api.SetAlarm:
-                self._set(self._now + max(0, action.after), Alarm.BELL, (mind, action.token))
-            elif mind is self._mind:
-                ACTIONS[type(action)](self, self._now, action)
-            elif type(action) in LAST_WORDS:
-                LAST_WORDS[type(action)](self, self._now, action, mind)
+            ACTIONS[type(action)](self, self._now, action)
 
     def _fail(self, now: int, event: api.Event, why: Exception) -> None:
         self.failed = True
@@ -496,7 +413,6 @@
 
     def _plays(self, now: int, playback: Playback, one: Try) -> None:
         playback.heard = now
-        self._settled(playback)
         playback.timeline.begin(now, self._addresses.get(one.host, ""), playback.rung)
         known = playback.public in self.shown
         self.shown[playback.public] = playback
@@ -509,7 +425,6 @@
             self._change(one, playback.rung)
 
     def _refused(self, now: int, playback: Playback, final: Final) -> None:
-        self._settled(playback)
         self._answer(now, playback, final)
         if playback.public in self.shown:  # it had been moved, and nowhere takes it
             playback.timeline.end(now)
@@ -524,9 +439,6 @@
     def _gone(self, now: int, playback: Playback, _: object) -> None:
         playback.reply = None
         playback.timeline.end(now)
-        if playback.former is not None:
-            self._hand(now, api.ViewerLeft(playback.number), playback.former)
-            self._settled(playback)
         self._hand(now, api.ViewerLeft(playback.number))
         self._close(now, playback)
 
@@ -621,20 +533,20 @@
 
     def _call_off(self, now: int, action: api.CallOff) -> None:
         playback = self.held.get(action.pb)
-        if playback is not None:
-            self._call_off_place(now, playback, action.attempt + playback.base)
-
-    def _call_off_place(self, now: int, playback: Playback, place: int) -> None:
-        if 0 <= place < len(playback.tries) and playback.tries[place].state == "out":
-            one = playback.tries[place]
-            self._outside.close_try(one)
-            self.ended(now, one, Ending.CALLED_OFF, api.Load())
+        if playback is not None and 0 <= action.attempt < len(playback.tries):
+            one = playback.tries[action.attempt]
+            if one.state == "out":
+                self._outside.close_try(one)
+                self.ended(now, one, Ending.CALLED_OFF, api.Load())
 
     def _move(self, now: int, action: api.Move) -> None:
         playback = self.held.get(action.pb)
         if playback is not None:
             self._step(now, playback, "move")
 
+    def _set_alarm(self, now: int, action: api.SetAlarm) -> None:
+        self._set(now + max(0, action.after), Alarm.BELL, action.token)
+
     def _probe(self, now: int, action: api.Probe) -> None:
         self.counts["probes"] += 1
         if action.host in self._addresses:
@@ -648,31 +560,6 @@
     def _remark(self, now: int, action: api.Remark) -> None:
         self._outside.remark(action.text)
 
-    # Actions of a policy that another has taken the place of: it may answer, and send nothing.
-
-    def _moot(self, now: int, action: api.SetUp, mind: Mind) -> None:
-        playback = self.held.get(action.pb)
-        if playback is not None and playback.former is mind:
-            place = len(playback.tries)
-            playback.tries.append(one := Try(playback, place, action.host, now))
-            one.state, one.ending = "ended", Ending.MOOT
-            self.counts["moot after a change"] += 1
-            self._hand(
-                now,
-                api.Ended(playback.number, place, action.host, Ending.MOOT, 0, False, api.Load()),
-                mind,
-            )
-
-    def _last_answer(self, now: int, action: api.Reject | api.Abort, mind: Mind) -> None:
-        playback = self.held.get(action.pb)
-        if playback is not None and playback.former is mind:
-            ACTIONS[type(action)](self, now, action)
-
-    def _last_call_off(self, now: int, action: api.CallOff, mind: Mind) -> None:
-        playback = self.held.get(action.pb)
-        if playback is not None and playback.former is mind:
-            self._call_off_place(now, playback, action.attempt)
-
 
 # State of a playback and what happens to it: the next state, and what is done about it.
 LIFE: dict[tuple[str, str], tuple[str, Callable[[Driver, int, Playback, Any], None] | None]] = {
@@ -701,13 +588,6 @@
     ("over", "left"): ("over", None),
 }
 
-LAST_WORDS: dict[type, Callable[[Driver, int, Any, Mind], None]] = {
-    api.SetUp: Driver._moot,
-    api.Reject: Driver._last_answer,
-    api.Abort: Driver._last_answer,
-    api.CallOff: Driver._last_call_off,
-}
-
 RINGS: dict[Alarm, Callable[[Driver, int, Any], None]] = {
     Alarm.BELL: Driver._bell,
     Alarm.TRY_DUE: Driver._try_due,
@@ -722,6 +602,7 @@
     api.Abort: Driver._abort,
     api.CallOff: Driver._call_off,
     api.Move: Driver._move,
+    api.SetAlarm: Driver._set_alarm,
     api.Probe: Driver._probe,
     api.KeepInformed: Driver._keep_informed,
     api.Remark: Driver._remark,
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -16,8 +16,9 @@
 from burlmast import api
 from burlmast.api import Scope
 from burlmast.edge.attendant import Attendant
+from burlmast.edge.changing import ChangingDriver
 from burlmast.edge.door import Door, ViewersGate
-from burlmast.edge.driver import Driver, Final, Playback, Policy, Try, Wanted
+from burlmast.edge.driver import Final, Playback, Policy, Try, Wanted
 from burlmast.edge.hosts import HostsSide
 from burlmast.edge.limits import Doorkeeper
 from burlmast.edge.listing import ListSide
@@ -113,7 +114,7 @@
         self._seed = seed
         segment = nanoseconds(edge.segment_ms)
         told = terms(deployment, number, zone)
-        self.driver = Driver(
+        self.driver: ChangingDriver = ChangingDriver(
             lambda now: maker(told, seed, now),
             self,
             lambda: secrets.token_urlsafe(15),
