Desks wait for the longest lease, and who gives one up is free only once they know

Found by reading the change once more, each by a test seen to fail first: - a desk that had just started waited for the shortest lease that it may have given, not the longest; - a gateway that took settings without a lease was free at once, while desks still counted on it; - a desk whose disk was lost and filled gave the epoch before, while others acted in the next; - a fleet armed for one change still waited for ever for one that was cut off; - after 64 more orders the book lost the order that some follow, and the epoch. Change: an order carries its epoch and what leases may be in force before it; the book keeps what somebody follows; grants without a lease are counted apart; the epoch by which a lost disk was filled is the least that it gives.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -58,7 +58,7 @@
         if dice.random() >= loss:  # the ask arrives
             there = now + dice.randrange(5, 50)
             ask = Ask(g, str(g), counts[g], one.epoch, one.free, length, int(known[g]))
-            called = Called(1, length, 5 * BEAT, ()) if ordered and apart else Called()
+            called = Called(1, True, length, 5 * BEAT, ()) if ordered and apart else Called()
             given = desks[d].take(there, ask, called)
             if dice.random() >= loss:  # and so does the answer
                 back = there + dice.randrange(5, 50)
--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -19,7 +19,7 @@
 from burlmast.fleet.desk_store import DeskStore
 from burlmast.fleet.lease import DeskLeases
 from burlmast.fleet.orders import Book, Refused
-from burlmast.fleet.register import Answer, Ballot, Round
+from burlmast.fleet.register import Answer, Ballot, Kept, Round
 from burlmast.fleet.stamp import canonical, digest
 from burlmast.fleet.words import (
     Accept,
@@ -61,6 +61,7 @@
         self.learned = Book()
         terms = deployment.edge.fleet
         self.leases = DeskLeases(clocks.steady(), deployment.gateways, terms.drift, self.store.floor())
+        self.leases.lost(self.store.least())
         self.beat_s = terms.beat_ms / 1000
         self.members: dict[tuple[int, str], tuple[int, Hello]] = {}
         self.pool = Pool(connect_s=min(0.5, self.beat_s))
@@ -238,12 +239,18 @@
         book: Book = msgspec.json.decode(body, type=Begin).book
         if self.kept.voting:
             raise Refused(f"this desk belongs to fleet {self.learned.fleet or '(not heard yet)'} already")
-        kept = register.begin(self.kept, orders.write_book(book))
-        self.store.keep_register(kept)
-        self.kept = kept
+        self._votes(register.begin(self.kept, orders.write_book(book)))
         self._learned(book)
         exchange.json(200, self.learned)
 
+    def _votes(self, kept: Kept) -> None:
+        """A blank disk is filled; from now on this desk votes and gives leases."""
+        epoch = orders.read_book(kept.value).epoch
+        self.store.keep_least(epoch)
+        self.store.keep_register(kept)
+        self.kept = kept
+        self.leases.lost(epoch)
+
     def status(self) -> Status:
         """All that this desk knows."""
         now = self.clocks.steady()
@@ -436,8 +443,7 @@
         self._counter = max(self._counter, one.highest[0])
         if one.state == "done":
             kept = register.fill(self.kept, one.ballot, *one.newest)
-            self.store.keep_register(kept)
-            self.kept = kept
+            self._votes(kept)
             self.log.warning("filled by the others", accepted=kept.accepted)
 
     async def _read(self) -> None:
@@ -512,8 +518,7 @@
     try:
         port = await desk.start(*listen)
         if begin and not desk.kept.voting:
-            desk.kept = register.begin(desk.kept, orders.write_book(first_book(deployment, time.time_ns())))
-            desk.store.keep_register(desk.kept)
+            desk._votes(register.begin(desk.kept, orders.write_book(first_book(deployment, time.time_ns()))))
         told({"ready": True, "desk": f"http://{listen[0]}:{port}", "number": number})
         await until()
         return 0
--- a/burlmast/fleet/desk_store.py
+++ b/burlmast/fleet/desk_store.py
@@ -56,6 +56,14 @@
         """On return it is on the disk."""
         self._keep("floor", b"%d" % floor)
 
+    def least(self) -> int:
+        """The epoch of the book by which a lost disk was filled; see `DeskLeases.lost`."""
+        return int(self._named("least") or 0)
+
+    def keep_least(self, epoch: int) -> None:
+        """On return it is on the disk."""
+        self._keep("least", b"%d" % epoch)
+
     def settings(self, digest: str) -> bytes | None:
         """Settings by their name."""
         row = self._base.execute("SELECT body FROM settings WHERE digest = ?", (digest,)).fetchone()
--- a/burlmast/fleet/follow.py
+++ b/burlmast/fleet/follow.py
@@ -4,7 +4,7 @@
 
 import zlib
 
-from burlmast.fleet.orders import Book, Order, epoch_at, newer, wanted
+from burlmast.fleet.orders import Book, Order, newer, wanted
 
 TABLE: dict[tuple[str, str], tuple[str, str]] = {
     # state, input: next state, effect
@@ -53,7 +53,7 @@
     @property
     def epoch(self) -> int:
         """The epoch of the order that it has to follow."""
-        return epoch_at(self.book, self.book.number)
+        return self.book.epoch
 
     @property
     def ready(self) -> int:
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -85,8 +85,7 @@
     order = orders.wanted(standing.book, own_number(folder))
     if files is not None and order is not None:
         # What was kept for the next start is taken now, unless others may still act on what must not mix.
-        epoch = orders.epoch_at(standing.book, standing.book.number)
-        choices = [(order.number, order.settings)] if epoch == standing.epoch else []
+        choices = [(order.number, order.settings)] if standing.book.epoch == standing.epoch else []
         for number, name in [*choices, (standing.in_force, standing.settings)]:
             found = _kept_settings(files, name, own)
             if found is not None:
@@ -227,7 +226,7 @@
     def may_take(self) -> bool:
         """Whether a request may be taken, or a set-up sent, at this very moment."""
         # Danger: a process that was stopped for longer than its lease asks here before any timer rings.
-        fresh = self.lease.fresh(self.clocks.steady()) and self._epoch_in_force == self.lease.epoch
+        fresh = self.may_act(self.clocks.steady())
         if fresh != self._was_fresh:
             self._was_fresh = fresh
             self.log.warning("takes requests again" if fresh else "shut out", why=self.lease.why)
@@ -354,7 +353,7 @@
 
     def may_act(self, now: int) -> bool:
         """As `may_take`, without counting or a word in the log."""
-        return self.lease.fresh(now) and self._epoch_in_force == self.lease.epoch
+        return self.lease.may_act(now, self._epoch_in_force)
 
     def hear(self, book: Book) -> None:
         """A book of orders, from a desk or a gateway."""
@@ -531,7 +530,7 @@
         def taken() -> None:
             self.settings, self._settings_name, self._digest = found, name, settings
             self._epoch_in_force = epoch
-            self.lease.needs(self._length(found))
+            self.lease.needs(self.clocks.steady(), self._length(found))
             self._around.change_settings(found)
             self.log.info("order in force", order=number, settings=settings[:12])
             self._do(self.follower.take(self.clocks.steady(), "taken"))
--- a/burlmast/fleet/lease.py
+++ b/burlmast/fleet/lease.py
@@ -42,7 +42,8 @@
     """The last order whose versions must not mix, as a desk knows it; times in nanoseconds."""
 
     epoch: int = 0
-    shortest: int = 0  # the shortest lease of what may be in force before it; 0: some need none
+    leased: bool = False  # all that may be in force before it needs a lease
+    longest: int = 0  # the longest lease of that
     within: int = 0  # how long those that are not ready are waited for
     without: tuple[int, ...] = ()  # gateways that an operator vouches not to run
 
@@ -66,14 +67,20 @@
         """`drift` is the part by which clocks may differ in speed; `floor` the highest epoch given, from
         disk."""
         self.began, self.gateways, self.drift, self.floor = now, gateways, drift, floor
+        self._least = 0  # the epoch of the book by which a lost disk was filled
         self.holds: dict[tuple[int, str], Hold] = {}
         self._learnt: dict[int, int] = {}  # epoch: when this desk first heard of it
         self.switched = 0  # the epoch for which this desk has stopped to give earlier ones
 
+    def lost(self, epoch: int) -> None:
+        """This desk's disk was lost, and filled by a book of this epoch. It may have let somebody act there,
+        so it gives nothing earlier; it may not have, so it lets nobody in before the earlier are out."""
+        self._least = epoch
+
     def take(self, now: int, ask: Ask, called: Called) -> Given:
         """Answer a gateway. `floor` must be on the disk before a higher one is answered."""
         hold = self._heard(now, ask)
-        lowest = max(self.floor, self._switch(now, called))
+        lowest = max(self.floor, self._least, self._switch(now, called))
         if ask.epoch < lowest:
             return Given(False, ask.epoch, 0, lowest, f"order {lowest} has taken its place, and must not mix")
         if ask.epoch > self.floor:
@@ -116,7 +123,7 @@
         if epoch > self.switched:
             return "not all are ready, and its time is not up"
         # Danger: a desk that has just started does not know what it gave before.
-        if called.shortest and now - self.began < int(called.shortest * (1 + self.drift)):
+        if now - self.began < int(called.longest * (1 + self.drift)):
             return "this desk has just started, and what it gave before may be in use"
         for gateway, life in sorted(self.holds):
             hold = self.holds[gateway, life]
@@ -126,11 +133,11 @@
                 return f"gateway {gateway} may act without a lease"
             if now < hold.until:
                 return f"gateway {gateway} may act until its lease is over"
-        if not called.shortest:
-            heard = {key[0] for key, one in self.holds.items() if one.epoch >= epoch} | set(called.without)
+        if not called.leased:
+            heard = {gateway for gateway, _ in self.holds} | set(called.without)
             missing = [one for one in range(self.gateways) if one not in heard]
             if missing:
-                return f"gateway {missing[0]} has not said that it acts on nothing earlier"
+                return f"gateway {missing[0]} has not been heard, and may act without a lease"
         return ""
 
 
@@ -141,12 +148,14 @@
         """`length` 0: the settings in force need no lease."""
         self.majority, self.drift, self.length, self.epoch = desks // 2 + 1, drift, length, epoch
         self.free = not length  # acts without a lease
-        self._until: dict[int, int] = {}  # by desk, in this epoch; a moment that is over where none is needed
+        self._until: dict[int, int] = {}  # by desk, in this epoch
+        self._free_by: set[int] = set()  # desks that know that it may act here without a lease
+        self._since = 0  # asks up to then said something else of its need
         self._barred: dict[int, int] = {}  # by desk, the epoch that has taken this one's place
         self.why = ""
 
     def fresh(self, now: int) -> bool:
-        """Whether this gateway may take something new now; asked before each act."""
+        """Whether it may act in its epoch now."""
         return self.free or sum(1 for until in self._until.values() if until > now) >= self.majority
 
     def until(self, now: int) -> int:
@@ -164,12 +173,20 @@
                 self._barred[desk] = given.barred
             return
         self._barred.pop(desk, None)
-        until = asked_at + int(given.length * (1 - self.drift))
-        self._until[desk] = max(self._until.get(desk, 0), until)
-        if len(self._until) >= self.majority and not self.length:
-            self.free = True
-        elif self.length and sum(1 for one in self._until.values() if one > now) >= self.majority:
-            self.free = False  # what needed no lease before acts on, until the lease is there
+        if given.length:
+            until = asked_at + int(given.length * (1 - self.drift))
+            self._until[desk] = max(self._until.get(desk, 0), until)
+        elif asked_at > self._since:
+            self._free_by.add(desk)
+        if not self.length:
+            self.free = self.free or len(self._free_by) >= self.majority
+        elif sum(1 for one in self._until.values() if one > now) >= self.majority:
+            # What needed no lease before acts on until the lease is there, and is held to it from then on.
+            self.free, self._free_by = False, set()
+
+    def may_act(self, now: int, epoch: int) -> bool:
+        """Whether something new may be done now by settings of this epoch; asked before each act."""
+        return epoch == self.epoch and self.fresh(now)
 
     def barred(self) -> int:
         """The epoch that has taken this one's place at a majority of desks, 0 for none."""
@@ -181,9 +198,12 @@
         """From now on it acts in a later epoch alone, and not before a majority lets it."""
         if epoch > self.epoch:
             self.epoch, self.free, self.why = epoch, False, "the new order's lease is not there yet"
-            self._until, self._barred = {}, {}
+            self._until, self._barred, self._free_by = {}, {}, set()
 
-    def needs(self, length: int) -> None:
+    def needs(self, now: int, length: int) -> None:
         """The settings in force from now on have this lease; 0 for none."""
+        if bool(length) != bool(self.length):
+            # Danger: desks that count on a lease let others in when it is over. Who gives one up is free only
+            # once a majority has been told, by words from now on.
+            self._since, self._free_by = now, set()
         self.length = length
-        self.free = self.free or (not length and len(self._until) >= self.majority)
--- a/burlmast/fleet/orders.py
+++ b/burlmast/fleet/orders.py
@@ -13,7 +13,7 @@
 from burlmast.fleet.lease import Called
 
 MS = 1_000_000
-LONGEST = 64  # orders kept; older ones are in the ledgers
+LONGEST = 64  # orders kept beside those that are followed; older ones are in the ledgers
 
 
 class Order(msgspec.Struct, frozen=True):
@@ -29,6 +29,9 @@
     within_ms: float = 0.0  # from the order until it must be in force
     given_at: int = 0  # wall clock of the desk, for people alone
     undoes: int = 0
+    epoch: int = 0  # the last order, up to this one, whose versions must not mix with those before
+    leased: bool = False  # of one that must not mix: all that may be in force before it needs a lease
+    longest_ms: float = 0.0  # and the longest of those
 
 
 class Book(msgspec.Struct, frozen=True):
@@ -38,12 +41,19 @@
     gateways: int = 0
     base_lease_ms: float = 0.0
     orders: tuple[Order, ...] = ()
+    leased: bool | None = None  # all that may be in force in the last epoch needs a lease; None: by the base
+    longest_ms: float | None = None  # and the longest of those
 
     @property
     def number(self) -> int:
         """The last order's number."""
         return self.orders[-1].number if self.orders else 0
 
+    @property
+    def epoch(self) -> int:
+        """The last order whose versions must not mix with those before; 0 for none."""
+        return self.orders[-1].epoch if self.orders else 0
+
 
 class Refused(Exception):
     """An order that cannot be given: one line."""
@@ -76,8 +86,28 @@
     strangers = [one for one in (*wanted.part, *wanted.without) if not 0 <= one < book.gateways]
     if strangers:
         raise Refused(f"gateway {strangers[0]} is not of this fleet of {book.gateways}")
-    order = msgspec.structs.replace(wanted, number=book.number + 1)
-    return msgspec.structs.replace(book, orders=(*book.orders, order)[-LONGEST:])
+    number = book.number + 1
+    leased = book.base_lease_ms > 0 if book.leased is None else book.leased
+    longest = book.base_lease_ms if book.longest_ms is None else book.longest_ms
+    if wanted.apart:
+        epoch = {"epoch": number, "leased": leased, "longest_ms": longest}
+        leased, longest = wanted.lease_ms > 0, wanted.lease_ms
+    else:
+        epoch = {"epoch": book.epoch}
+        leased, longest = leased and wanted.lease_ms > 0, max(longest, wanted.lease_ms)
+    order = msgspec.structs.replace(wanted, number=number, **epoch)
+    kept = _needed((*book.orders, order), book.gateways)
+    return msgspec.structs.replace(book, orders=kept, leased=leased, longest_ms=longest)
+
+
+def _needed(orders: tuple[Order, ...], gateways: int) -> tuple[Order, ...]:
+    """The last orders, and of older ones those that somebody follows or that began the epoch."""
+    old, late = orders[:-LONGEST], orders[-LONGEST:]
+    if not old:
+        return orders
+    followed = {order.number for n in range(gateways) if (order := _followed(orders, n)) is not None}
+    followed.add(late[-1].epoch)
+    return (*(one for one in old if one.number in followed), *late)
 
 
 def withdraw(book: Book, number: int, request: str, given_at: int) -> Book:
@@ -123,22 +153,16 @@
 
 def wanted(book: Book, gateway: int) -> Order | None:
     """The order that a gateway has to follow, None for its own file."""
-    for order in reversed(book.orders):
-        if not order.part or gateway in order.part:
-            return order
-    return None
+    return _followed(book.orders, gateway)
 
 
-def epoch_at(book: Book, number: int) -> int:
-    """The last order up to this number whose versions must not mix with those before; 0 for none."""
-    return max((one.number for one in book.orders if one.apart and one.number <= number), default=0)
+def _followed(orders: Sequence[Order], gateway: int) -> Order | None:
+    return next((one for one in reversed(orders) if not one.part or gateway in one.part), None)
 
 
-def shortest_lease(book: Book, below: int) -> float:
-    """The shortest lease of anything that may be in force before this order, 0 where something needs none."""
-    before = [one.lease_ms for one in book.orders if one.number < below]
-    cut = LONGEST if len(book.orders) < LONGEST else 0
-    return min([*before, book.base_lease_ms]) if cut else 0.0
+def epoch_at(book: Book, number: int) -> int:
+    """The epoch of an order, 0 for none; of one that is not kept any more one that is too early."""
+    return next((one.epoch for one in reversed(book.orders) if one.number <= number), 0)
 
 
 def newer(mine: Book, other: Book) -> bool:
@@ -151,5 +175,5 @@
     order = next((one for one in reversed(book.orders) if one.apart), None)
     if order is None:
         return Called()
-    shortest = int(shortest_lease(book, order.number) * MS)
-    return Called(order.number, shortest, int(order.within_ms * MS), order.without)
+    within = int(order.within_ms * MS)
+    return Called(order.number, order.leased, int(order.longest_ms * MS), within, order.without)
--- a/tests/test_fleet_core.py
+++ b/tests/test_fleet_core.py
@@ -102,8 +102,10 @@
 
 def test_what_may_be_in_force_without_a_lease_is_waited_for() -> None:
     armed = book(order("a", lease_ms=50.0), order("b", lease_ms=80.0, apart=True), base=100.0)
-    assert orders.called(armed) == Called(2, 50_000_000, 0, ())
-    assert orders.called(book(order("b", lease_ms=80.0, apart=True))).shortest == 0
+    assert orders.called(armed) == Called(2, True, 100_000_000, 0, ())
+    assert not orders.called(book(order("b", lease_ms=80.0, apart=True))).leased
+    twice = book(order("a", lease_ms=50.0, apart=True), order("b", lease_ms=80.0, apart=True))
+    assert orders.called(twice) == Called(2, True, 50_000_000, 0, ()), "what was before the last is over"
     assert orders.called(book(order("a"))) == Called()
 
 
@@ -207,7 +209,7 @@
 
 
 def test_a_version_that_few_can_use_shuts_nobody_out() -> None:
-    desk, called = DeskLeases(0, 4, 0.0), Called(1, S, S, ())
+    desk, called = DeskLeases(0, 4, 0.0), Called(1, True, S, S, ())
     for now in range(1, 20):
         for gateway in range(4):
             given_ = desk.take(now * S, asks(gateway, 0, now, ready=1 if gateway < 2 else 0), called)
@@ -215,7 +217,7 @@
 
 
 def test_stragglers_are_waited_for_until_the_time_is_up() -> None:
-    desk, called = DeskLeases(-9 * S, 4, 0.0), Called(1, S, 5 * S, ())
+    desk, called = DeskLeases(-9 * S, 4, 0.0), Called(1, True, S, 5 * S, ())
     for now in range(5):
         answers = [desk.take(now * S, asks(g, 0, now, ready=int(g < 3)), called).yes for g in range(4)]
         assert all(answers)
@@ -224,7 +226,7 @@
 
 def test_an_operators_word_that_a_gateway_does_not_run_lets_the_others_go_on() -> None:
     for without, yes in (((), False), ((2,), True)):
-        desk, called = DeskLeases(0, 3, 0.0), Called(1, 0, 0, without)
+        desk, called = DeskLeases(0, 3, 0.0), Called(1, False, 0, 0, without)
         for gateway in (0, 1):
             desk.take(1, asks(gateway, 0, length=0, free=True), called)
         given_ = [desk.take(2, asks(gateway, 1, 2, length=0), called) for gateway in (0, 1)][-1]
@@ -232,7 +234,7 @@
 
 
 def test_the_next_life_on_the_same_disk_ends_the_hold_of_the_last() -> None:
-    desk, called = DeskLeases(0, 1, 0.0), Called(1, 0, 0, ())
+    desk, called = DeskLeases(0, 1, 0.0), Called(1, False, 0, 0, ())
     desk.take(1, asks(0, 0, length=0, free=True), Called())
     again = Ask(0, "new", 1, 1, False, 0, 1)
     assert "without a lease" in desk.take(2, again, called).why
@@ -251,7 +253,7 @@
 
     desks = [DeskLeases(clock(d, -60 * S), 2, drift) for d in range(3)]
     gateways = [GatewayLease(3, drift, 10 * S, 0) for _ in range(2)]
-    called = Called(1, 10 * S, 0, ())
+    called = Called(1, True, 10 * S, 0, ())
     acted = {0: 0, 1: 0}
     for step in range(1, 400):
         now = step * S // 8
@@ -278,7 +280,7 @@
 
 def test_what_needed_no_lease_acts_on_until_the_lease_is_there() -> None:
     one = GatewayLease(3, 0.0, 0, 0)
-    one.needs(10 * S)
+    one.needs(0, 10 * S)
     assert one.fresh(1)
     for desk in range(2):
         assert one.free
@@ -403,3 +405,66 @@
     started = risen(gateway, 200 * S)
     assert [started(row) for row in rows] == [5 * S, 200 * S]
     assert started(rows[0]._replace(host=7)) == 200 * S
+
+
+# Found by reading: what a desk may not know when leases and no leases are mixed, and what a long book loses.
+
+
+def test_a_desk_that_has_just_started_waits_for_the_longest_lease_that_it_may_have_given() -> None:
+    two = book(
+        order("a", lease_ms=60_000.0), order("b", lease_ms=2_000.0), order("c", apart=True), base=9_000.0
+    )
+    desk = DeskLeases(0, 1, 0.0)
+    again = Ask(0, "life", 1, 3, False, 2 * S, 3)
+    assert "just started" in desk.take(3 * S, again, orders.called(two)).why
+    assert (
+        "just started" in desk.take(59 * S, msgspec.structs.replace(again, count=2), orders.called(two)).why
+    )
+    assert desk.take(61 * S, msgspec.structs.replace(again, count=3), orders.called(two)).yes
+
+
+def test_a_fleet_that_was_armed_shuts_out_whoever_is_cut_off() -> None:
+    """Own files without a lease, one with a lease ordered side by side and taken by all, then one apart."""
+    armed = book(order("a", lease_ms=1000.0), order("b", lease_ms=1000.0, apart=True))
+    desk = DeskLeases(-100 * S, 2, 0.0)
+    for gateway in (0, 1):
+        desk.take(1, asks(gateway, 0, 1, length=0, free=True), orders.called(book(order("a"))))
+        desk.take(2, asks(gateway, 0, 2, length=S), Called())
+    called = msgspec.structs.replace(orders.called(armed), within=0)
+    for now in (S // 2, 2 * S):
+        mine = desk.take(now, asks(0, 2, now, length=S, ready=2), called)
+    assert mine.yes, mine.why
+
+
+def test_who_gives_up_its_lease_is_free_only_once_desks_know_it() -> None:
+    one = GatewayLease(3, 0.0, 10 * S, 0)
+    for desk in range(2):
+        one.answered(desk, 1, 1, Given(True, 0, 10 * S))
+    one.needs(2, 0)
+    assert not one.free and one.fresh(3) and not one.fresh(11 * S)
+    one.answered(2, 4, 1, Given(True, 0, 0))  # of an ask from before
+    one.answered(0, 4, 3, Given(True, 0, 0))
+    assert not one.free
+    one.answered(1, 4, 3, Given(True, 0, 0))
+    assert one.free
+
+
+def test_a_long_book_keeps_what_somebody_follows_and_its_epoch() -> None:
+    found = book(order("a", apart=True), order("b", part=(1,)), gateways=3)
+    for n in range(3 * orders.LONGEST):
+        found = give(found, order(f"c{n}", part=(2,)))
+    assert [(wanted(found, n) or order("none")).settings for n in range(2)] == ["a", "b"]
+    assert found.number == 2 + 3 * orders.LONGEST and len(found.orders) <= orders.LONGEST + 3
+    assert epoch_at(found, found.number) == 1 and orders.called(found).epoch == 1
+
+
+def test_a_desk_that_lost_its_disk_gives_nothing_before_the_epoch_of_the_book_that_it_found() -> None:
+    desk = DeskLeases(-100 * S, 2, 0.0)
+    desk.lost(2)
+    late = desk.take(1, asks(0, 0, 1), Called(2, True, S, S, ()))
+    assert not late.yes and late.barred == 2
+    # And it lets nobody into that epoch while one that it has not heard may act without a lease.
+    given_ = desk.take(2, asks(1, 2, 1, ready=2), Called(2, False, 0, 0, ()))
+    assert not given_.yes and desk.floor == 0
+    desk.take(3, asks(0, 2, 2, ready=2), Called(2, False, 0, 0, ()))
+    assert desk.take(4, asks(1, 2, 2, ready=2), Called(2, False, 0, 0, ())).yes
--- a/tests/test_fleet_explored.py
+++ b/tests/test_fleet_explored.py
@@ -192,6 +192,7 @@
     asks: int
     crashes: int
     again: int = 0  # words that may come twice
+    gives_up: int = 0  # gateway 0 may take settings of this epoch that need no lease
 
 
 def desk_value(one: DeskLeases) -> tuple[Any, ...]:
@@ -199,11 +200,12 @@
         (key, (h.count, h.epoch, h.free, h.gave_free, h.ready, h.until, h.heard))
         for key, h in sorted(one.holds.items())
     )
-    return one.began, one.floor, one.switched, tuple(sorted(one._learnt.items())), holds
+    return one.began, (one.floor, one._least), one.switched, tuple(sorted(one._learnt.items())), holds
 
 
 def desk_of(value: tuple[Any, ...]) -> DeskLeases:
-    one = DeskLeases(value[0], 2, 0.0, value[1])
+    one = DeskLeases(value[0], 2, 0.0, value[1][0])
+    one._least = value[1][1]
     one.switched, one._learnt = value[2], dict(value[3])
     for key, (count, epoch, free, gave_free, ready, until, heard) in value[4]:
         hold = one.holds[key] = Hold()
@@ -214,12 +216,13 @@
 
 def gateway_value(one: GatewayLease, count: int) -> tuple[Any, ...]:
     maps = tuple(sorted(one._until.items())), tuple(sorted(one._barred.items()))
-    return one.length, one.epoch, one.free, *maps, count
+    return one.length, one.epoch, one.free, *maps, count, tuple(sorted(one._free_by)), one._since
 
 
 def gateway_of(value: tuple[Any, ...]) -> GatewayLease:
     one = GatewayLease(2, 0.0, value[0], value[1])
     one.free, one._until, one._barred = value[2], dict(value[3]), dict(value[4])
+    one._free_by, one._since = set(value[6]), value[7]
     return one
 
 
@@ -279,11 +282,19 @@
                 )
     if yard.crashes:
         for d in range(2):
-            began = DeskLeases(yard.now, 2, 0.0, yard.desks[d][1])
-            yield (
-                f"desk {d} starts again",
-                replace(yard, desks=put(yard.desks, d, desk_value(began)), crashes=yard.crashes - 1),
-            )
+            for lost in (False, True):
+                began = DeskLeases(yard.now, 2, 0.0, 0 if lost else yard.desks[d][1][0])
+                began.lost(called.epoch if lost else yard.desks[d][1][1])
+                label = f"desk {d} starts again{', its disk lost and filled' if lost else ''}"
+                desks = put(yard.desks, d, desk_value(began))
+                yield label, replace(yard, desks=desks, crashes=yard.crashes - 1)
+    if yard.gives_up:
+        one = gateway_of(yard.gateways[0])
+        if one.epoch == 0:
+            one.needs(yard.now, 0)
+            mine = gateway_value(one, yard.gateways[0][5])
+            label = "gateway 0 needs a lease no more"
+            yield label, replace(yard, gateways=put(yard.gateways, 0, mine), gives_up=0)
 
 
 def plain(yard: Yard, length: int) -> Yard:
@@ -346,6 +357,14 @@
     return Yard(0, tuple(desks), values, frozenset(words), asks, crashes)
 
 
+def test_who_gives_up_its_lease_never_acts_beside_the_new_epoch() -> None:
+    start = msgspec.structs.replace(yard(LENGTH, 3, 0, False), gives_up=1)
+    called = Called(1, False, LENGTH, 0, ())
+    found = explore(start, lambda one: plain_moves(one, called, DeskLeases), mixes)
+    assert not found.wrong, found
+    assert found.states > 5_000
+
+
 class Forgetful(DeskLeases):
     """Gives the new epoch while the old one's leases run."""
 
@@ -371,7 +390,7 @@
 
 @pytest.mark.parametrize(("length", "asks", "crashes"), [(LENGTH, 2, 0), (LENGTH, 2, 1), (0, 2, 0)])
 def test_no_two_epochs_ever_act_at_one_time(length: int, asks: int, crashes: int) -> None:
-    called = Called(1, length, 0, ())
+    called = Called(1, bool(length), length, 0, ())
     found = explore(yard(length, asks, crashes), lambda one: plain_moves(one, called, DeskLeases), mixes)
     assert not found.wrong, found
     assert found.states > 5_000
@@ -384,7 +403,7 @@
 def test_a_planted_fault_of_the_leases_is_found(
     plant: type[DeskLeases], length: int, asks: int, crashes: int
 ) -> None:
-    called = Called(1, length, 0, ())
+    called = Called(1, bool(length), length, 0, ())
     found = explore(yard(length, asks, crashes, False), lambda one: plain_moves(one, called, plant), mixes)
     assert "act" in found.wrong
     assert len(found.story) <= 14, found.story
@@ -392,7 +411,7 @@
 
 def test_the_new_epoch_is_reached_by_both_where_words_arrive() -> None:
     """Alive: with nothing lost, both gateways act in the new epoch within a lease and a beat."""
-    called, now = Called(1, LENGTH, 0, ()), 0
+    called, now = Called(1, True, LENGTH, 0, ()), 0
     gateways = [GatewayLease(2, 0.0, LENGTH, 0) for _ in range(2)]
     desks = [DeskLeases(-10, 2, 0.0) for _ in range(2)]
     for now in range(8):
