--- a/tests/test_fleet_explored.py
+++ b/tests/test_fleet_explored.py
@@ -283,7 +283,7 @@
     if yard.crashes:
         for d in range(2):
             for lost in (False, True):
-                began = DeskLeases(yard.now, 2, 0.0, 0 if lost else yard.desks[d][1][0])
+                began = desk_kind(yard.now, 2, 0.0, 0 if lost else yard.desks[d][1][0])
                 began.lost(called.epoch if lost else yard.desks[d][1][1])
                 label = f"desk {d} starts again{', its disk lost and filled' if lost else ''}"
                 desks = put(yard.desks, d, desk_value(began))
@@ -396,6 +396,42 @@
     assert found.states > 5_000
 
 
+class Amnesiac(DeskLeases):
+    """A lost disk, once filled, gives whatever is asked for."""
+
+    def lost(self, epoch: int) -> None:
+        pass
+
+
+def free_at_once(one: GatewayLease, now: int, length: int) -> None:
+    """Acts without a lease before any desk knows."""
+    one.length, one.free = length, one.free or not length
+
+
+def test_a_planted_way_to_give_up_a_lease_too_soon_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(GatewayLease, "needs", free_at_once)
+    start = msgspec.structs.replace(yard(LENGTH, 2, 0, False), gives_up=1)
+    called = Called(1, False, LENGTH, 0, ())
+    found = explore(start, lambda one: plain_moves(one, called, DeskLeases), mixes)
+    assert "act" in found.wrong and len(found.story) <= 10, found
+
+
+def test_a_desk_that_forgets_that_its_disk_was_lost_is_found() -> None:
+    # Gateway 1 acts in the new epoch by both desks; then both lose their disks, and gateway 0 asks again.
+    desks, ahead = [], GatewayLease(2, 0.0, 3, 1)
+    for d in range(2):
+        desk = Amnesiac(-10, 2, 0.0)
+        desk.switched = 1
+        ahead.answered(d, 0, 0, desk.take(0, Ask(1, "life", 1, 1, False, 3, 1), Called(1, True, 0, 0, ())))
+        desks.append(desk_value(desk))
+    values = gateway_value(GatewayLease(2, 0.0, LENGTH, 0), 1), gateway_value(ahead, 1)
+    start = Yard(0, tuple(desks), values, frozenset(), 2, 2)
+    called = Called(1, True, 0, 10, ())
+    for kind, wrong in ((Amnesiac, True), (DeskLeases, False)):
+        found = explore(start, lambda one, kind=kind: yard_moves(one, called, kind), mixes)
+        assert bool(found.wrong) is wrong, found
+
+
 @pytest.mark.parametrize(
     ("plant", "length", "asks", "crashes"),
     [(Forgetful, LENGTH, 2, 0), (Forgetful, 0, 2, 0), (Lenient, LENGTH, 4, 0), (Restless, LENGTH, 2, 2)],
