A fleet whose desks all lost their disks goes on with the book that its gateways know

A gateway asks for a new epoch only once its disk knows that it moved. Desks read each other's rows from a place on, where they sent all lives that there ever were each beat. Members come from a desk's word once, not each tick, which raised the gone again. One reading of addresses in place of four, one book in place of two copies; what a start may take stands in follow.py.

--- a/burlmast/badday/day.py
+++ b/burlmast/badday/day.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from burlmast.badday.desks import Quarters
-from burlmast.badday.gateways import split_url
 from burlmast.badday.town import Town
 from burlmast.http1.client import Pool, Whole
+from burlmast.http1.messages import split_address
 from burlmast.settings.read import nanoseconds
 from burlmast.settings.scenes import market, rulebook, tariffs
 from burlmast.settings.sheets import Deployment
@@ -366,7 +366,7 @@
     try:
         for one in town.gateways:
             status, _, told = await Whole.of(
-                pool, split_url(one.operators), b"PUT", b"/v1/programme", headers, programme
+                pool, split_address(one.operators), b"PUT", b"/v1/programme", headers, programme
             )
             if status != 200:
                 raise Untaken(told.decode("utf-8", "replace"))
--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -19,8 +19,9 @@
 from burlmast.fleet.ledger_shell import read_rows
 from burlmast.fleet.orders import Book, Order
 from burlmast.fleet.status import ranges
-from burlmast.fleet.words import Begin, Have, Placed, Rows, Status, Wanted
+from burlmast.fleet.words import Begin, Placed, Rows, Since, Status, Wanted
 from burlmast.http1.client import Address, Pool, Whole
+from burlmast.http1.messages import split_address
 
 JSON = ((b"content-type", b"application/json"),)
 DESKS = click.option(
@@ -80,7 +81,7 @@
     """Run something that asks desks; ends with 1 and one line where none answers."""
 
     async def run() -> Any:
-        pool = Pool()
+        pool = Pool(connect_s=2.0)  # a person waits for a machine under load
         try:
             return await work(pool)
         finally:
@@ -127,13 +128,19 @@
 @fleet.command()
 @DESKS
 @click.option("--settings", "file", type=click.Path(), required=True, help="The gateways' own file.")
-def begin(desks: tuple[Address, ...], file: str) -> None:
-    """A fleet begins: every desk must answer, and every disk must be blank."""
+@click.option("--anew", is_flag=True, help="Although gateways know the book of a fleet.")
+def begin(desks: tuple[Address, ...], file: str, anew: bool) -> None:
+    """A fleet begins: every desk must answer, and every disk must be blank.
+
+    Where gateways speak that know a book, all desks have lost their disks: it goes on with the latest.
+    """
     from burlmast.fleet.desk_shell import first_book
 
     book = first_book(settings(file), time.time_ns())
 
     async def work(pool: Pool) -> int:
+        nonlocal book
+        speakers: set[str] = set()
         for address in desks:
             status, told = await call(pool, address, "/fleet/v1/status")
             found = msgspec.json.decode(told, type=Status) if status == 200 else None
@@ -141,12 +148,18 @@
                 why = reason(status, told) if found is None else "belongs to a fleet already"
                 click.echo(f"fleet: desk {address[0]}:{address[1]}: {why}; nothing has begun", err=True)
                 return 1
+            speakers |= {one.operators for one in found.members if one.operators}
+        for speaker in sorted(speakers) if not anew else ():
+            status, told = await call(pool, split_address(speaker), "/fleet/v1/book", within=3.0)
+            known: Book = msgspec.json.decode(told, type=Book) if status == 200 else Book()
+            if known.fleet and (not book.orders or known.number > book.number):
+                book = known
         for address in desks:
             status, told = await call(pool, address, "/fleet/v1/begin", msgspec.json.encode(Begin(book)))
             if status != 200:
                 click.echo(f"fleet: desk {address[0]}:{address[1]}: {reason(status, told)}", err=True)
                 return 1
-        say({"fleet": book.fleet, "gateways": book.gateways, "desks": len(desks)})
+        say({"fleet": book.fleet, "order": book.number, "gateways": book.gateways, "desks": len(desks)})
         return 0
 
     raise SystemExit(ask(work))
@@ -243,15 +256,16 @@
     silent: list[str] = []
     contradictions: list[Row] = []
     for address in desks:
-        where = f"desk {address[0]}:{address[1]}"
+        since = Since()
         while True:
-            status, told = await call(
-                pool, address, "/fleet/v1/rows", msgspec.json.encode(Have(shelf.have()))
-            )
+            status, told = await call(pool, address, "/fleet/v1/rows", msgspec.json.encode(since))
             if status != 200:
-                silent.append(f"{where}: {reason(status, told)}")
+                silent.append(f"desk {address[0]}:{address[1]}: {reason(status, told)}")
                 break
-            if not shelf.take(msgspec.json.decode(told, type=Rows).rows):
+            found: Rows = msgspec.json.decode(told, type=Rows)
+            shelf.take(found.rows)
+            since = Since(found.store, found.upto)
+            if not found.rows:
                 break
         status, told = await call(pool, address, "/fleet/v1/contradictions")
         if status == 200:
@@ -327,8 +341,7 @@
         pages = {(row.life, row.page): row for row in rows if row.kind == "page"}
         silent, told = [], 0
         for operators in sorted(one for one in addresses if one):
-            host, _, port = operators.rpartition(":")
-            status, raw = await call(pool, (host, int(port)), f"/fleet/v1/playback/{name}", within=3.0)
+            status, raw = await call(pool, split_address(operators), f"/fleet/v1/playback/{name}", within=3.0)
             if status != 200:
                 silent.append(operators)
                 continue
--- a/burlmast/edge/hosts.py
+++ b/burlmast/edge/hosts.py
@@ -14,9 +14,9 @@
 from burlmast.edge.driver import Try
 from burlmast.edge.endings import ENDINGS, of_answer
 from burlmast.edge.loads import read_load
-from burlmast.edge.words import STREAM_LINE, SetUpWords, StreamLine, split_address
+from burlmast.edge.words import STREAM_LINE, SetUpWords, StreamLine
 from burlmast.http1.client import Address, Call, Failure, Pool
-from burlmast.http1.messages import Lines, Malformed
+from burlmast.http1.messages import Lines, Malformed, split_address
 
 JSON = ((b"content-type", b"application/json"),)
 ENCODER = msgspec.json.Encoder()
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -25,11 +25,11 @@
 from burlmast.edge.operators import Operators
 from burlmast.edge.redial import Redial
 from burlmast.edge.together import Alone, Together
-from burlmast.edge.words import split_address
 from burlmast.hostbook.keeper import Keeper
 from burlmast.hostbook.shelf import Shelf
 from burlmast.hostbook.snapshot import rows as rows_of
 from burlmast.http1.client import Address, Pool
+from burlmast.http1.messages import split_address
 from burlmast.http1.server import Bounds, Server
 from burlmast.logic import Gateway
 from burlmast.settings.read import nanoseconds, terms
--- a/burlmast/edge/words.py
+++ b/burlmast/edge/words.py
@@ -87,9 +87,3 @@
     if not name or not port.isdecimal() or not 0 < int(port) < 65536:
         raise NotARow(f"not an address: {row.address}")
     return api.HostRow(row.host, row.zone, row.kind, row.cell, standing, row.weight, row.started), row.address
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Name and port."""
-    name, _, port = address.rpartition(":")
-    return name.strip("[]"), int(port)
--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -8,6 +8,7 @@
 import time
 import zlib
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -24,16 +25,17 @@
 from burlmast.fleet.words import (
     Accept,
     Begin,
-    Have,
     Hello,
     Member,
     Prepare,
     Rows,
+    Since,
     Status,
     Wanted,
     Welcome,
 )
 from burlmast.http1.client import Address, Pool, Whole
+from burlmast.http1.messages import split_address
 from burlmast.http1.server import Bounds, Exchange, Server
 from burlmast.settings.read import BadSettings, parse
 from burlmast.settings.sheets import Deployment
@@ -41,6 +43,7 @@
 JSON = ((b"content-type", b"application/json"),)
 BODY = 8 << 20
 FORGOTTEN = 3600 * 1_000_000_000  # nanoseconds after which a life that is not heard is shown no more
+BEATS_HEARD = 3  # that a desk alone on a blank disk listens for gateways that know a book
 TRIES = 12  # rounds of one change before it is given up
 Words = TypeVar("Words")
 
@@ -71,7 +74,9 @@
         self._draws = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._changing = asyncio.Lock()
+        self._stores: dict[int, str] = {}  # of the other desks, by their names
         self.waits = ""
+        self.begins = False  # alone, on a blank disk: as the book that gateways know, or as a new fleet
 
     async def start(self, host: str, port: int) -> int:
         """Listen; the port. Raises OSError."""
@@ -157,8 +162,8 @@
         given = self.leases.take(now, ask, orders.called(self.learned))
         if self.leases.floor != floor:
             self.store.keep_floor(self.leases.floor)
-        if not given.yes:
-            self.waits = given.why
+        if ask.epoch >= self.leases.floor:
+            self.waits = given.why  # empty once the newest epoch is given
         have = {life: self.store.have.get(life, 0) for life in hello.has}
         book = self.learned if self.learned.number > hello.book or not hello.fleet else None
         exchange.json(200, Welcome(given, book, have, self._peers(now)))
@@ -215,8 +220,9 @@
         return name
 
     def _rows(self, exchange: Exchange, body: bytes) -> None:
-        have: dict[str, int] = msgspec.json.decode(body, type=Have).have
-        exchange.json(200, Rows(tuple(self.store.rows(have))))
+        since: Since = msgspec.json.decode(body, type=Since)
+        rows, upto = self.store.since(since.after if since.store == self.store.name else 0)
+        exchange.json(200, Rows(tuple(rows), self.store.name, upto))
 
     def _order(self, exchange: Exchange, body: bytes) -> None:
         wanted: Wanted = msgspec.json.decode(body, type=Wanted)
@@ -278,7 +284,7 @@
             self.learned,
             members,
             sum(self.store.have.values()),
-            len(self.store.contradictions()),
+            self.store.contradicting(),
             self.waits,
         )
 
@@ -434,7 +440,10 @@
 
     async def _fill(self) -> None:
         """A blank disk is filled by the others: a ballot of its own that a majority of all promises."""
-        if self.kept.voting or len(self.desks) == 1:
+        if self.kept.voting:
+            return
+        if len(self.desks) == 1:
+            await self._begin_alone()
             return
         one = Round(self.number, len(self.desks), self._ballot(), lambda raw: raw)
         one.filling = True
@@ -446,6 +455,25 @@
             self._votes(kept)
             self.log.warning("filled by the others", accepted=kept.accepted)
 
+    def _gateways(self) -> list[Address]:
+        return [split_address(hello.operators) for _, hello in self.members.values() if hello.operators]
+
+    async def _begin_alone(self) -> None:
+        """One desk on a blank disk: gateways that are of a fleet already know its book."""
+        since = self.clocks.steady() - self.leases.began
+        if not self.begins or since < BEATS_HEARD * self.beat_s * 1e9:
+            return
+        known = Book()
+        for address in self._gateways():
+            with suppress(ConnectionError, TimeoutError, Refused):
+                _, _, told = await Whole.of(self.pool, address, b"GET", b"/fleet/v1/book", within=self.beat_s)
+                known = max(known, orders.read_book(told), key=lambda one: (bool(one.fleet), one.number))
+        if known.fleet:
+            self.log.warning("goes on with the book of the gateways", fleet=known.fleet, order=known.number)
+        book = known if known.fleet else first_book(self.deployment, time.time_ns())
+        self._votes(register.begin(self.kept, orders.write_book(book)))
+        self._learned(book)
+
     async def _read(self) -> None:
         """Learn what a majority holds, where this desk may have missed it."""
         held = orders.read_book(self.kept.value)
@@ -468,20 +496,24 @@
         """Rows that another desk has and this one lacks."""
         for desk in range(len(self.desks)):
             if desk != self.number:
-                words = msgspec.json.encode(Have(self.store.have))
+                store = self._stores.get(desk, "")
+                words = msgspec.json.encode(Since(store, self.store.read_of(store)))
                 try:
                     told = await self._call(desk, "/fleet/v1/rows", words, Rows)
                 except (ConnectionError, TimeoutError):
                     continue
-                if told.rows:
-                    self.store.take(told.rows)
+                self._stores[desk] = told.store
+                if told.store == store and told.rows:  # else it is asked again from where it had been read
+                    self.store.take(told.rows, told.store, told.upto)
 
     async def _sync_settings(self) -> None:
         """Settings that an order names and this disk lacks, from whoever has them."""
         names = {one.settings for one in self.learned.orders if one.settings}
         for name in sorted(one for one in names if self.store.settings(one) is None):
             others = [one for place, one in enumerate(self.desks) if place != self.number and one is not None]
-            gateways = [split(hello.operators) for _, hello in self.members.values() if hello.operators]
+            gateways = [
+                split_address(hello.operators) for _, hello in self.members.values() if hello.operators
+            ]
             for address in [*others, *gateways]:
                 target = f"/fleet/v1/settings/{name}".encode()
                 try:
@@ -492,12 +524,6 @@
                     break
 
 
-def split(address: str) -> Address:
-    """Name and port of `name:port`, with or without `http://`."""
-    name, _, port = address.removeprefix("http://").rpartition(":")
-    return name, int(port)
-
-
 class NoMajority(Exception):
     """Too few desks answer: one line. The change may still come into force; the request's id tells."""
 
@@ -515,10 +541,9 @@
 ) -> int:
     """Run one desk until it is stopped; the exit code. Raises OSError, sqlite3.Error."""
     desk = Desk(deployment, number, desks, folder, clocks)
+    desk.begins = begin
     try:
         port = await desk.start(*listen)
-        if begin and not desk.kept.voting:
-            desk._votes(register.begin(desk.kept, orders.write_book(first_book(deployment, time.time_ns()))))
         told({"ready": True, "desk": f"http://{listen[0]}:{port}", "number": number})
         await until()
         return 0
--- a/burlmast/fleet/desk_store.py
+++ b/burlmast/fleet/desk_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -15,8 +16,8 @@
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, body BLOB NOT NULL);
 CREATE TABLE IF NOT EXISTS settings (digest TEXT PRIMARY KEY, body BLOB NOT NULL);
-CREATE TABLE IF NOT EXISTS row (life TEXT NOT NULL, n INTEGER NOT NULL, body BLOB NOT NULL,
-    PRIMARY KEY (life, n)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS row (seq INTEGER PRIMARY KEY AUTOINCREMENT, life TEXT NOT NULL, n INTEGER NOT NULL,
+    body BLOB NOT NULL, UNIQUE (life, n));
 CREATE TABLE IF NOT EXISTS contradiction (life TEXT, n INTEGER, body BLOB, PRIMARY KEY (life, n, body));
 """
 
@@ -29,6 +30,8 @@
         has been filled. Raises OSError, sqlite3.Error."""
         folder.mkdir(parents=True, exist_ok=True)
         self._base, self.damaged = open_base(folder / "desk.sqlite", SCHEMA)
+        self.name = (self._named("name") or secrets.token_hex(8).encode()).decode()
+        self._keep("name", self.name.encode())
         count = "SELECT life, MAX(n) FROM row GROUP BY life"
         self.have: dict[str, int] = dict(self._base.execute(count).fetchall())
 
@@ -73,9 +76,14 @@
         """On return they are on the disk."""
         self._base.execute("INSERT OR IGNORE INTO settings VALUES (?, ?)", (digest, body))
 
-    def take(self, rows: Iterable[Row]) -> None:
+    def read_of(self, other: str) -> int:
+        """How far another desk's store has been read."""
+        return int(self._named(f"read {other}") or 0)
+
+    def take(self, rows: Iterable[Row], other: str = "", upto: int = 0) -> None:
         """Gathered rows: each life without a hole, so that `have` says all. A row that is here and says
-        something else is kept as a contradiction."""
+        something else is kept as a contradiction. Of another desk's store, `upto` says how far it has been
+        read with them."""
         fresh: dict[str, int] = {}
         self._base.execute("BEGIN IMMEDIATE")
         try:
@@ -83,7 +91,7 @@
                 body = msgspec.msgpack.encode(row)
                 upto = fresh.get(row.life, self.have.get(row.life, 0))
                 if row.n == upto + 1:
-                    self._base.execute("INSERT INTO row VALUES (?, ?, ?)", (row.life, row.n, body))
+                    self._base.execute("INSERT INTO row VALUES (NULL, ?, ?, ?)", (row.life, row.n, body))
                     fresh[row.life] = row.n
                 elif 0 < row.n <= upto:
                     there = self._base.execute(
@@ -93,27 +101,30 @@
                         self._base.execute(
                             "INSERT OR IGNORE INTO contradiction VALUES (?, ?, ?)", (row.life, row.n, body)
                         )
+            if other:
+                self._keep(f"read {other}", b"%d" % upto)
             self._base.execute("COMMIT")
         except BaseException:
             roll_back(self._base)
             raise
         self.have.update(fresh)
 
-    def rows(self, have: dict[str, int], most: int = ROWS_AT_ONCE) -> list[Row]:
-        """What somebody who has so much lacks, at most so many."""
-        found: list[Row] = []
-        for life in sorted(self.have):
-            if len(found) < most and self.have[life] > have.get(life, 0):
-                wanted = "SELECT body FROM row WHERE life = ? AND n > ? ORDER BY n LIMIT ?"
-                bodies = self._base.execute(wanted, (life, have.get(life, 0), most - len(found))).fetchall()
-                found += [msgspec.msgpack.decode(body, type=Row) for (body,) in bodies]
-        return found
+    def since(self, after: int, most: int = ROWS_AT_ONCE) -> tuple[list[Row], int]:
+        """Rows in the order in which they came here, those after a place; and the place up to which."""
+        wanted = "SELECT seq, body FROM row WHERE seq > ? ORDER BY seq LIMIT ?"
+        found = self._base.execute(wanted, (after, most)).fetchall()
+        rows: list[Row] = [msgspec.msgpack.decode(body, type=Row) for _, body in found]
+        return rows, found[-1][0] if found else after
 
     def contradictions(self) -> list[Row]:
         """Rows that say something else than those under their numbers."""
         found = self._base.execute("SELECT body FROM contradiction ORDER BY life, n").fetchall()
         return [msgspec.msgpack.decode(body, type=Row) for (body,) in found]
 
+    def contradicting(self) -> int:
+        """How many there are."""
+        return int(self._base.execute("SELECT COUNT(*) FROM contradiction").fetchone()[0])
+
     def close(self) -> None:
         """Let go of the file."""
         self._base.close()
--- a/burlmast/fleet/follow.py
+++ b/burlmast/fleet/follow.py
@@ -68,7 +68,10 @@
         return self.in_force == (order.number if order is not None else 0)
 
     def hear(self, now: int, book: Book) -> str:
-        """A book from a desk, a gateway or the disk; the effect."""
+        """A book from a desk, a gateway or the disk; the effect. The first one that is heard says which fleet
+        this is."""
+        if book.fleet and not self.book.fleet:
+            self.book = Book(book.fleet, book.gateways, book.base_lease_ms)
         if not newer(self.book, book):
             return ""
         before, self.book = self.order, book
@@ -108,3 +111,14 @@
         self._failures += 1
         self._draws += 1
         return whole // 2 + int(whole * zlib.crc32(f"{self._seed}:{self._draws}".encode()) / 2**33)
+
+
+def choices(book: Book, gateway: int, in_force: int, settings: str, epoch: int) -> list[tuple[int, str]]:
+    """What a gateway may start from, best first: order and settings, empty for its own file. `in_force`,
+    `settings` and `epoch` are those of its last life."""
+    order = wanted(book, gateway)
+    if order is None:
+        return [(0, "")]
+    # What was kept for this start is taken now, unless others may still act on what must not mix with it.
+    ready = [(order.number, order.settings)] if book.epoch == epoch else []
+    return [*ready, (in_force, settings), (0, "")]
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -19,7 +19,7 @@
 
 from burlmast.fleet import orders
 from burlmast.fleet.clock_shell import Clocks
-from burlmast.fleet.follow import Follower
+from burlmast.fleet.follow import Follower, choices
 from burlmast.fleet.lease import Ask, GatewayLease
 from burlmast.fleet.ledger import Ledger
 from burlmast.fleet.ledger_shell import Files, FolderInUse, Lock, Scribe
@@ -28,6 +28,7 @@
 from burlmast.fleet.stamp import ListName, Stamp, canonical, digest
 from burlmast.fleet.words import Carried, Hello, Placed, Welcome
 from burlmast.http1.client import Address, Pool, Whole
+from burlmast.http1.messages import split_address
 from burlmast.http1.server import Exchange
 from burlmast.settings.live import needs_restart
 from burlmast.settings.read import BadSettings, parse
@@ -82,19 +83,14 @@
     except (OSError, sqlite3.Error, msgspec.MsgspecError) as why:
         trouble = f"{folder}: {why}"
     deployment = own
-    order = orders.wanted(standing.book, own_number(folder))
-    if files is not None and order is not None:
-        # What was kept for the next start is taken now, unless others may still act on what must not mix.
-        choices = [(order.number, order.settings)] if standing.book.epoch == standing.epoch else []
-        for number, name in [*choices, (standing.in_force, standing.settings)]:
-            found = _kept_settings(files, name, own)
-            if found is not None:
-                deployment = found
-                standing = msgspec.structs.replace(standing, in_force=number, settings=name)
-                break
-        else:
-            trouble = trouble or f"{folder}: the settings of order {standing.in_force} are not on this disk"
-            standing = msgspec.structs.replace(standing, in_force=0, settings="")
+    words = standing.in_force, standing.settings, standing.epoch
+    for number, name in choices(standing.book, own_number(folder), *words):
+        found = _kept_settings(files, name, own)
+        if found is not None:
+            deployment = found
+            standing = msgspec.structs.replace(standing, in_force=number, settings=name)
+            break
+        trouble = trouble or f"{folder}: the settings of order {number} are not on this disk"
     return Start(own, deployment, standing, files, lock, folder, trouble)
 
 
@@ -103,10 +99,10 @@
     return int(folder.name.rpartition("-")[2])
 
 
-def _kept_settings(files: Files, name: str, own: Deployment) -> Deployment | None:
+def _kept_settings(files: Files | None, name: str, own: Deployment) -> Deployment | None:
     if not name:
         return own
-    raw = files.named(f"settings {name}")
+    raw = files.named(f"settings {name}") if files is not None else None
     try:
         return parse(raw.decode("utf-8")) if raw is not None else None
     except (BadSettings, UnicodeDecodeError):
@@ -135,12 +131,11 @@
         self._beat_s = terms.beat_ms / 1000
         self.life = secrets.token_hex(8)
         self.before = start.standing.life
-        self.book = start.standing.book
         self.settings, self._settings_name = start.deployment, start.standing.settings
         self._digest = digest(start.deployment)
         self.follower = Follower(
             number,
-            self.book,
+            start.standing.book,
             start.standing.in_force,
             int(terms.again_ms * MS),
             int(terms.again_longest_ms * MS),
@@ -165,14 +160,19 @@
         self._build = build
         self._announced: Stamp | None = None
         self.operators = ""
-        self.peers: dict[int, tuple[str, Address]] = {}
         self._have: list[dict[str, int]] = [{} for _ in desks]
         self._asks = 0
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
+        self._known = asyncio.Event()  # the disk knows in which epoch this gateway acts
+        self._known.set()
         self._hurry = [asyncio.Event() for _ in desks]
         self._was_fresh = True
+        self._let = start.standing.let
+        self._unread = ""
+        self._reading = False
+        self.members: Members | None = None
         self.turned_away = 0
         if start.trouble:
             self._trouble(start.trouble)
@@ -309,6 +309,7 @@
         rows: list[Any] = []
         if any(count > have.get(life, 0) for life, count in self.scribe.has.items()) and have:
             rows = await self.scribe.rows(have)
+        await self._known.wait()
         now, lease = self.clocks.steady(), self.lease
         fresh = self.may_act(now)
         self._asks += 1
@@ -345,7 +346,9 @@
             raise ConnectionError(f"status {status}: {told[:200]!r}")
         welcome: Welcome = msgspec.json.decode(told, type=Welcome)
         self._have[desk] = {life: 0 for life in self.scribe.has} | welcome.have
-        self.peers.update({one: (life, split(address)) for one, life, address in welcome.peers})
+        for number, life, address in welcome.peers:
+            if self.members is not None:
+                self.members.joined(self.clocks.steady(), f"{number}.{life}", address)
         self.lease.answered(desk, self.clocks.steady(), now, welcome.given)
         if welcome.book is not None:
             self.hear(welcome.book)
@@ -355,16 +358,19 @@
         """As `may_take`, without counting or a word in the log."""
         return self.lease.may_act(now, self._epoch_in_force)
 
+    @property
+    def book(self) -> Book:
+        """The orders as this gateway knows them."""
+        return self.follower.book
+
     def hear(self, book: Book) -> None:
         """A book of orders, from a desk or a gateway."""
-        if book.fleet and not self.book.fleet:
-            self.book = self.follower.book = Book(book.fleet, book.gateways, book.base_lease_ms)
-            self._keep_standing()
-        if orders.newer(self.book, book):
-            self.book = book
+        before = self.book
+        effect = self.follower.hear(self.clocks.steady(), book)
+        if self.book != before:
             self._keep_standing()
-            self._do(self.follower.hear(self.clocks.steady(), book))
             self._hasten()
+        self._do(effect)
 
     def _hasten(self) -> None:
         for one in self._hurry:
@@ -377,6 +383,7 @@
             self.log.warning("acts in the earlier epoch no more", epoch=barred)
             self.lease.move(barred)
             # Danger: desks believe a gateway that asks for the new epoch; the disk must know by then.
+            self._known.clear()
             self._spawn(self._moved())
         if self.lease.fresh(self.clocks.steady()) and not self._let:
             self._let = True
@@ -384,29 +391,24 @@
         if self.follower.may_take(self.lease.epoch):
             self._do(self.follower.take(self.clocks.steady(), "let"))
 
-    _let = True
-
     async def _moved(self) -> None:
         self._let = False
         await self._keep_now()
+        self._known.set()
         self._hasten()
 
     # Other gateways.
 
-    members: Members | None = None
-
     async def _mingle(self, every: float) -> None:
         while not self._closed:
             if self.members is not None:
-                for number, (life, (host, port)) in sorted(self.peers.items()):
-                    self.members.joined(self.clocks.steady(), f"{number}.{life}", f"{host}:{port}")
                 self._carry(self.members.tick(self.clocks.steady()))
             await asyncio.sleep(every)
 
     def _carry(self, sends: list[Send]) -> None:
         for send in sends:
             body = msgspec.json.encode(Carried(send.words, self.book.number, self.operators))
-            self._spawn(self._post(split(send.address), body))
+            self._spawn(self._post(split_address(send.address), body))
 
     async def _post(self, address: Address, body: bytes) -> None:
         with suppress(ConnectionError, TimeoutError, OSError):  # what is lost the probes see to
@@ -415,7 +417,7 @@
     def _heard_word(self, exchange: Exchange, body: bytes) -> None:
         try:
             carried: Carried = msgspec.json.decode(body, type=Carried)
-            address = split(carried.back)
+            address = split_address(carried.back)
         except (msgspec.MsgspecError, RecursionError, ValueError) as why:
             exchange.refuse(400, f"not understood: {why}")
             return
@@ -425,8 +427,6 @@
         if carried.book > self.book.number and not self._reading:
             self._spawn(self._read_book(address))
 
-    _reading = False
-
     async def _read_book(self, address: Address) -> None:
         """Another gateway knows of a later order, which no desk has told here yet."""
         self._reading = True
@@ -480,7 +480,8 @@
                     return parse(raw.decode("utf-8"))
             except (sqlite3.Error, BadSettings, UnicodeDecodeError):
                 pass
-        for address in [*self.desks, *(address for _, address in self.peers.values())]:
+        there = self.members.there() if self.members is not None else []
+        for address in [*self.desks, *(split_address(one.address) for one in there)]:
             target = f"/fleet/v1/settings/{name}".encode()
             try:
                 status, _, body = await Whole.of(self._pool, address, b"GET", target, within=self._beat_s)
@@ -493,8 +494,6 @@
                 self._unread = str(why)
         return None
 
-    _unread = ""
-
     def _check(self) -> None:
         why = needs_restart(self.settings, self._pending)
         now = self.clocks.steady()
@@ -622,9 +621,3 @@
             exchange.refuse(507, f"this gateway's ledger: {why}")
             return
         exchange.json(200, found)
-
-
-def split(address: str) -> Address:
-    """Name and port of `name:port`, with or without `http://`."""
-    name, _, port = address.removeprefix("http://").rpartition(":")
-    return name, int(port)
--- a/burlmast/fleet/ledger_shell.py
+++ b/burlmast/fleet/ledger_shell.py
@@ -141,7 +141,6 @@
         self._thread = ThreadPoolExecutor(1, "ledger")
         self._placed: list[Placed] = []
         self._waiting: list[tuple[int, Callable[[], None]]] = []
-        self._opened: list[Callable[[], None]] = []
         self._timer: asyncio.TimerHandle | None = None
         self._writing = False
         self._again = False
--- a/burlmast/fleet/members.py
+++ b/burlmast/fleet/members.py
@@ -111,7 +111,6 @@
         self.name, self.address, self.period, self.patience = name, address, period, patience
         self.incarnation = 0
         self.others: dict[str, Member] = {}
-        self.sent = self.bytes = 0
         self._round: list[str] = []
         self._probes: dict[int, Probe] = {}
         self._count = self._draws = 0
--- a/burlmast/fleet/words.py
+++ b/burlmast/fleet/words.py
@@ -57,16 +57,19 @@
     value: bytes
 
 
-class Have(msgspec.Struct, frozen=True):
-    """How many rows of each life somebody has, so that the rest can be sent."""
+class Since(msgspec.Struct, frozen=True):
+    """How far a desk's store has been read, so that only the rest is sent; another store is read anew."""
 
-    have: dict[str, int]
+    store: str = ""
+    after: int = 0
 
 
 class Rows(msgspec.Struct, frozen=True):
-    """Rows of ledgers; each carries its life and number."""
+    """Rows of ledgers, each with its life and number; from which store, and up to which place of it."""
 
     rows: tuple[Row, ...]
+    store: str
+    upto: int
 
 
 class Wanted(msgspec.Struct, frozen=True):
--- a/burlmast/http1/messages.py
+++ b/burlmast/http1/messages.py
@@ -58,3 +58,9 @@
     def unfinished(self) -> bool:
         """Whether bytes of a line without its end are held."""
         return bool(self._rest)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Name and port of `name:port`, with or without `http://` before it. Raises ValueError."""
+    name, _, port = address.removeprefix("http://").rstrip("/").rpartition(":")
+    return name.strip("[]"), int(port)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -499,3 +499,41 @@
             assert [msgspec.json.decode(one)["order"] for one in told.splitlines()] == [1]
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("desks", [1, 3])
+def test_all_desks_lose_their_disks_and_the_fleet_goes_on_with_what_the_gateways_know(
+    tmp_path: Path, desks: int
+) -> None:
+    async def run() -> None:
+        async with works(tmp_path, fleet_of(2, lease_ms=1000.0), desks) as here:
+            for _ in range(2):
+                await here.operate("order", here.version(), "--apart", "--within", "0.2")
+            await here.in_force(2, 0, 1)
+            name = (await here.status()).book.fleet
+            await asyncio.gather(*(one.kill() for one in here.desks))
+            for number in range(desks):
+                shutil.rmtree(tmp_path / f"desk-{number}")
+            if desks == 1:
+                here.desks[0].extra = ["--begin"]
+            await asyncio.gather(*(one.start() for one in here.desks))
+
+            async def spoken() -> bool:
+                return len((await here.status()).members) == 2
+
+            await here.until(spoken)
+            if desks > 1:
+                code, told = await here.operate("begin", "--settings", str(here.settings))
+                assert code == 0 and f'"fleet":"{name}","order":2' in told, told
+
+            async def votes() -> bool:
+                return (await here.status()).voting
+
+            await here.until(votes)
+            await here.in_force(2, 0, 1)
+            code, told = await here.operate("order", here.version(), "--apart", "--within", "0.2")
+            assert code == 0, told
+            await here.in_force(3, 0, 1)
+            assert (await here.status()).book.fleet == name
+
+    asyncio.run(run())
