Desks are members too; a gateway that starts while no desk is there is brought up by others

Need: the issue's membership is between gateways and desks, and `silent` did not say whether a gateway is dead or only cut off from the desks. Change: members_shell.py carries words for both; `fleet status` says whether a silent gateway answers other members.

--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -19,6 +19,8 @@
 from burlmast.fleet.clock_shell import Clocks
 from burlmast.fleet.desk_store import DeskStore
 from burlmast.fleet.lease import DeskLeases
+from burlmast.fleet.members import Members
+from burlmast.fleet.members_shell import Mingling
 from burlmast.fleet.orders import Book, Refused
 from burlmast.fleet.register import Answer, Ballot, Kept, Round
 from burlmast.fleet.stamp import canonical, digest
@@ -74,6 +76,7 @@
         self._draws = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._changing = asyncio.Lock()
+        self.mingling: Mingling | None = None
         self._stores: dict[int, str] = {}  # of the other desks, by their names
         self.waits = ""
         self.begins = False  # alone, on a blank disk: as the book that gateways know, or as a new fleet
@@ -81,6 +84,22 @@
     async def start(self, host: str, port: int) -> int:
         """Listen; the port. Raises OSError."""
         found = await self.server.listen(host, port)
+        terms = self.deployment.edge.fleet
+        members = Members(
+            f"desk.{self.number}",
+            f"{host}:{found}",
+            self.clocks.steady(),
+            int(terms.probe_ms * 1e6),
+            terms.probes,
+            self.number,
+            lambda text: self.log.info("member", what=text),
+        )
+        words = self.pool, self.beat_s, self.clocks.steady, self._spawn
+        self.mingling = Mingling(members, self, *words)
+        for desk, address in enumerate(self.desks):
+            if address is not None:
+                self.mingling.met(f"desk.{desk}", address)
+        self._spawn(self.mingling.run())
         self._spawn(self._look_after())
         self.log.info("started", port=found, voting=self.kept.voting)
         return found
@@ -112,6 +131,7 @@
             "/fleet/v1/rows": self._rows,
             "/fleet/v1/order": self._order,
             "/fleet/v1/begin": self._begin,
+            "/fleet/v1/word": self._word,
         }
         if exchange.method == b"POST" and path in post:
             take = post[path]
@@ -155,6 +175,8 @@
         if hello.rows:
             self.store.take(hello.rows)
         self.members[ask.gateway, ask.life] = now, hello
+        if self.mingling is not None and hello.operators:
+            self.mingling.met(f"{ask.gateway}.{ask.life}", split_address(hello.operators))
         if not self.kept.voting:
             exchange.refuse(503, "this desk's disk is blank; it waits to be filled")
             return
@@ -202,6 +224,20 @@
         self._learned(orders.read_book(body))
         exchange.json(200, {"book": self.learned.number})
 
+    def _word(self, exchange: Exchange, body: bytes) -> None:
+        if self.mingling is not None:
+            self.mingling.take(exchange, body)
+
+    @property
+    def book(self) -> Book:
+        """The orders as this desk has learned them."""
+        return self.learned
+
+    def hear(self, book: Book) -> None:
+        """A book that another member knows; it was taken by a majority, or nobody would know it."""
+        if book.fleet == self.learned.fleet:
+            self._learned(book)
+
     def _learned(self, book: Book) -> None:
         if book.number > self.learned.number or (book.fleet and not self.learned.fleet):
             self.learned = book
@@ -286,6 +322,7 @@
             sum(self.store.have.values()),
             self.store.contradicting(),
             self.waits,
+            self.mingling.states() if self.mingling is not None else {},
         )
 
     # Changes.
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -10,7 +10,6 @@
 import sqlite3
 import zlib
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
@@ -23,10 +22,11 @@
 from burlmast.fleet.lease import Ask, GatewayLease
 from burlmast.fleet.ledger import Ledger
 from burlmast.fleet.ledger_shell import Files, FolderInUse, Lock, Scribe
-from burlmast.fleet.members import Members, Send
+from burlmast.fleet.members import Members
+from burlmast.fleet.members_shell import WORD, Mingling
 from burlmast.fleet.orders import Book
 from burlmast.fleet.stamp import ListName, Stamp, canonical, digest
-from burlmast.fleet.words import Carried, Hello, Placed, Welcome
+from burlmast.fleet.words import Hello, Placed, Welcome
 from burlmast.http1.client import Address, Pool, Whole
 from burlmast.http1.messages import split_address
 from burlmast.http1.server import Exchange
@@ -172,7 +172,7 @@
         self._let = start.standing.let
         self._unread = ""
         self._reading = False
-        self.members: Members | None = None
+        self.mingling: Mingling | None = None
         self.turned_away = 0
         if start.trouble:
             self._trouble(start.trouble)
@@ -194,7 +194,7 @@
             self._spawn(self._speak(desk))
         self._spawn(self._look_after())
         terms = self._start.own.edge.fleet
-        self.members = Members(
+        members = Members(
             f"{self.number}.{self.life}",
             operators,
             self.clocks.steady(),
@@ -203,7 +203,11 @@
             zlib.crc32(self.life.encode()),
             lambda text: self.log.info("member", what=text),
         )
-        self._spawn(self._mingle(terms.probe_ms / 5000))
+        words = self._pool, self._beat_s, self.clocks.steady, self._spawn
+        self.mingling = Mingling(members, self, *words)
+        for desk, address in enumerate(self.desks):
+            self.mingling.met(f"desk.{desk}", address)
+        self._spawn(self.mingling.run())
         if not self.follower.caught_up:
             self._do(self.follower.take(self.clocks.steady(), "ordered"))
 
@@ -347,8 +351,8 @@
         welcome: Welcome = msgspec.json.decode(told, type=Welcome)
         self._have[desk] = {life: 0 for life in self.scribe.has} | welcome.have
         for number, life, address in welcome.peers:
-            if self.members is not None:
-                self.members.joined(self.clocks.steady(), f"{number}.{life}", address)
+            if self.mingling is not None:
+                self.mingling.met(f"{number}.{life}", split_address(address))
         self.lease.answered(desk, self.clocks.steady(), now, welcome.given)
         if welcome.book is not None:
             self.hear(welcome.book)
@@ -397,50 +401,6 @@
         self._known.set()
         self._hasten()
 
-    # Other gateways.
-
-    async def _mingle(self, every: float) -> None:
-        while not self._closed:
-            if self.members is not None:
-                self._carry(self.members.tick(self.clocks.steady()))
-            await asyncio.sleep(every)
-
-    def _carry(self, sends: list[Send]) -> None:
-        for send in sends:
-            body = msgspec.json.encode(Carried(send.words, self.book.number, self.operators))
-            self._spawn(self._post(split_address(send.address), body))
-
-    async def _post(self, address: Address, body: bytes) -> None:
-        with suppress(ConnectionError, TimeoutError, OSError):  # what is lost the probes see to
-            await Whole.of(self._pool, address, b"POST", b"/fleet/v1/word", JSON, body, within=self._beat_s)
-
-    def _heard_word(self, exchange: Exchange, body: bytes) -> None:
-        try:
-            carried: Carried = msgspec.json.decode(body, type=Carried)
-            address = split_address(carried.back)
-        except (msgspec.MsgspecError, RecursionError, ValueError) as why:
-            exchange.refuse(400, f"not understood: {why}")
-            return
-        exchange.respond(204)
-        if self.members is not None:
-            self._carry(self.members.take(self.clocks.steady(), carried.words))
-        if carried.book > self.book.number and not self._reading:
-            self._spawn(self._read_book(address))
-
-    async def _read_book(self, address: Address) -> None:
-        """Another gateway knows of a later order, which no desk has told here yet."""
-        self._reading = True
-        try:
-            status, _, told = await Whole.of(
-                self._pool, address, b"GET", b"/fleet/v1/book", within=self._beat_s
-            )
-            if status == 200:
-                self.hear(msgspec.json.decode(told, type=Book))
-        except (ConnectionError, TimeoutError, msgspec.MsgspecError) as why:
-            self.log.debug("book of another gateway", why=str(why))
-        finally:
-            self._reading = False
-
     # Orders.
 
     def _do(self, effect: str) -> None:
@@ -480,7 +440,7 @@
                     return parse(raw.decode("utf-8"))
             except (sqlite3.Error, BadSettings, UnicodeDecodeError):
                 pass
-        there = self.members.there() if self.members is not None else []
+        there = self.mingling.members.there() if self.mingling is not None else []
         for address in [*self.desks, *(split_address(one.address) for one in there)]:
             target = f"/fleet/v1/settings/{name}".encode()
             try:
@@ -570,8 +530,9 @@
 
     def application(self, exchange: Exchange, path: str) -> bool:
         """Answer a desk, a gateway or an operator, if this is for them."""
-        if path == "/fleet/v1/word" and exchange.method == b"POST":
-            exchange.collect(65536, lambda body: self._heard_word(exchange, body))
+        mingling = self.mingling
+        if path == "/fleet/v1/word" and exchange.method == b"POST" and mingling is not None:
+            exchange.collect(WORD, lambda body: mingling.take(exchange, body))
             return True
         if exchange.method != b"GET" or not path.startswith("/fleet/v1/"):
             return False
@@ -589,9 +550,7 @@
                 "acts": self.ledger.acts,
                 "turned_away": self.turned_away,
                 "ledger": self.scribe.failing,
-                "members": {one.name: one.state for _, one in sorted(self.members.others.items())}
-                if self.members is not None
-                else {},
+                "members": self.mingling.states() if self.mingling is not None else {},
             }
             exchange.json(200, told)
         elif what == "book":
--- a/burlmast/fleet/status.py
+++ b/burlmast/fleet/status.py
@@ -59,7 +59,13 @@
     for key in sorted(latest):
         order = wanted(book, key[0])
         late = order is not None and wall > order.given_at + int(order.within_ms * 1e6)
-        rows.append(_line(latest[key], newest[key[0]] == key[1], order.number if order else 0, late))
+        line = _line(latest[key], newest[key[0]] == key[1], order.number if order else 0, late)
+        held = {one.holds.get(f"{key[0]}.{key[1]}", "") for one in heard}
+        if line.state == "silent" and "alive" in held:
+            line = msgspec.structs.replace(line, why="it reaches no desk, and answers other members")
+        elif line.state == "silent" and "gone" in held:
+            line = msgspec.structs.replace(line, why="it answers nobody")
+        rows.append(line)
     missing = tuple(one for one in range(book.gateways) if one not in newest)
     desks = tuple(_desk(place, one) for place, one in enumerate(found))
     current = [row for row in rows if row.state != "replaced"]
--- a/burlmast/fleet/words.py
+++ b/burlmast/fleet/words.py
@@ -119,6 +119,7 @@
     rows: int
     contradictions: int
     waits: str = ""
+    holds: dict[str, str] = {}  # what each other member is held to be: alive, suspect, gone
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -134,7 +135,8 @@
 
 
 class Carried(msgspec.Struct, frozen=True):
-    """A word of membership between gateways, and what the sender knows of orders; `back` is its address."""
+    """A word of membership between gateways and desks, and what the sender knows of orders; `back` is where
+    it listens."""
 
     words: Words
     book: int
