Membership of two explored whole: whatever was lost, both are alive again once words arrive

Every word lost, late or in time for three periods; from every state reached both hold each other alive within 12 periods; both are held gone on the way. A member that never probes the gone is found.

--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import heapq
+import pickle
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import combinations, permutations
 
 import msgspec
 import pytest
+from explore import explore
 
+from burlmast.fleet import members as members_module
 from burlmast.fleet.members import ALIVE, GONE, SUSPECT, Members, News, Send, Words
 
 PERIOD = 1000
@@ -201,3 +204,87 @@
         for news in order:
             one.hear(0, news)
         assert one.state("b") == ALIVE, order
+
+
+# Explored whole: two members, each word lost, late or on time, and what becomes of it once words arrive.
+
+
+def mute(text: str) -> None:
+    """A remark that nobody reads."""
+
+
+class Pair(msgspec.Struct, frozen=True):
+    """Two members as they are kept, and the words on their way."""
+
+    now: int
+    members: tuple[bytes, bytes]
+    words: frozenset[tuple[int, bytes]]  # for whom, what
+
+
+def pair() -> Pair:
+    both = [Members(str(n), str(n), 0, PERIOD, 2, n + 1, mute) for n in range(2)]
+    for one, other in zip(both, both[::-1], strict=True):
+        one.joined(0, other.name, other.address)
+    return Pair(0, (pickle.dumps(both[0]), pickle.dumps(both[1])), frozenset())
+
+
+def sent(words: frozenset[tuple[int, bytes]], sends: list[Send]) -> frozenset[tuple[int, bytes]]:
+    return words | {(int(send.address), msgspec.json.encode(send.words)) for send in sends}
+
+
+def pair_moves(one: Pair, periods: int) -> Iterator[tuple[str, Pair]]:
+    for word in sorted(one.words):
+        place, raw = word
+        member = pickle.loads(one.members[place])
+        sends = member.take(one.now, msgspec.json.decode(raw, type=Words))
+        members = tuple(pickle.dumps(member) if n == place else one.members[n] for n in range(2))
+        yield f"{place} hears", Pair(one.now, members, sent(one.words - {word}, sends))  # type: ignore[arg-type]
+    if one.now < periods * PERIOD:
+        members, words = [], one.words
+        now = one.now + PERIOD // 2
+        # Words that are older than two periods are not waited for: each was lost, or came before.
+        words = frozenset(sorted(words)[-2:])
+        for raw in one.members:
+            member = pickle.loads(raw)
+            words = sent(words, member.tick(now))
+            members.append(pickle.dumps(member))
+        yield "half a period passes", Pair(now, (members[0], members[1]), words)
+
+
+def held_too_long(one: Pair, periods: int = 12) -> str:
+    """From here on every word arrives at once: do both hold each other alive within so many periods?"""
+    members, now = [pickle.loads(raw) for raw in one.members], one.now
+    for _ in range(2 * periods):
+        now += PERIOD // 2
+        queue = [send for member in members for send in member.tick(now)]
+        while queue:
+            send = queue.pop(0)
+            queue += members[int(send.address)].take(now, send.words)
+    wrong = [f"{n} holds the other {m.others[str(1 - n)].state}" for n, m in enumerate(members)
+             if m.others[str(1 - n)].state != ALIVE]  # fmt: skip
+    return ", ".join(wrong)
+
+
+def test_whatever_was_lost_two_members_hold_each_other_alive_once_words_arrive() -> None:
+    gone = set()
+
+    def wrong(one: Pair) -> str:
+        for n, raw in enumerate(one.members):
+            if pickle.loads(raw).others[str(1 - n)].state == GONE:
+                gone.add(n)
+        return held_too_long(one) if one.now >= 3 * PERIOD and not one.words else ""
+
+    found = explore(pair(), lambda one: pair_moves(one, 3), wrong, 60_000)
+    assert not found.wrong, found
+    assert found.states > 1_000 and gone == {0, 1}, (found.states, gone)
+
+
+def test_a_member_that_never_probes_the_gone_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(members_module, "REVISIT", 10**9)
+    monkeypatch.setattr(Members, "_probe", never_the_gone)
+    found = explore(pair(), lambda one: pair_moves(one, 3), held_too_long, 60_000)
+    assert "gone" in found.wrong
+
+
+def never_the_gone(self: Members, now: int) -> list[Send]:
+    return [self._start(now, one, None) for one in self.there()]
