A fleet's wall clock that runs back, as a process; rungs round a change are measured

Clocks that run back were tested in the core alone, and service round a change of settings did not look at rungs. One gateway of the process test now has a wall clock that runs back a minute a second beside others 5 minutes and 2 hours off: no epochs mix, the audit finds nothing. benchmarks/fleet.py tells the revenue of the rungs at which requests begin, and its load comes from a process of its own.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -105,12 +105,12 @@
           f"{day * size['range'] / 1e6:.1f} MB")  # fmt: skip
 
 
-async def load(here: Works, seconds: float, at_once: int, rate: float) -> tuple[int, list[float]]:
-    """Set-ups at gateway 0: as many as go with `at_once` out, or `rate` a second; how many, and times."""
+async def load(address: tuple[str, int], seconds: float, at_once: int, rate: float) -> list[float]:
+    """Set-ups at a gateway: as many as go with `at_once` out, or `rate` a second; the seconds that each took,
+    in order of length."""
     pool, took, over = Pool(), [], time.monotonic() + seconds
     body = msgspec.json.encode(ASK | {"lasts": 0.2, "plan": "explainer"})
     headers = ((b"content-type", b"application/json"),)
-    address = here.gateways[0].address
 
     async def one() -> None:
         began = time.monotonic()
@@ -138,7 +138,17 @@
     else:
         await asyncio.gather(*(worker() for _ in range(at_once)))
     pool.close()
-    return len(took), sorted(took)
+    return sorted(took)
+
+
+async def loaded(here: Works, seconds: float, at_once: int, rate: float) -> list[float]:
+    """As `load` at gateway 0, from a process of its own."""
+    words = ["load", "--port", here.gateways[0].port, "--seconds", seconds, "--rate", rate, "--out", at_once]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, __file__, *map(str, words), stdout=asyncio.subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    return msgspec.json.decode(out, type=list[float])
 
 
 def processor_time(here: Works) -> float:
@@ -150,7 +160,7 @@
 
 async def cost(seconds: float, rounds: int) -> None:
     """The same gateway with and without its fleet, by turns."""
-    figures: dict[bool, list[tuple[float, float, float]]] = {True: [], False: []}
+    figures: dict[bool, list[tuple[float, ...]]] = {True: [], False: []}
     for turn in range(2 * rounds):
         on = turn % 2 == 0
         with tempfile.TemporaryDirectory() as folder:
@@ -171,11 +181,11 @@
                     del words[place : place + 2]
                 await here.gateways[0].start()
                 await here.ready(0)
-                await load(here, 1.0, 32, 0)
+                await loaded(here, 1.0, 32, 0)
                 before = processor_time(here)
-                count, _ = await load(here, seconds, 32, 0)
+                count = len(await loaded(here, seconds, 32, 0))
                 spent = 1e6 * (processor_time(here) - before) / max(1, count)
-                _, half = await load(here, seconds, 0, count / seconds / 2)
+                half = await loaded(here, seconds, 0, count / seconds / 2)
                 operators = str(here.gateways[0].told["operators"])
                 _, raw = await here.get(("127.0.0.1", int(operators.rpartition(":")[2])), "/metrics")
                 stall = next(
@@ -194,19 +204,21 @@
 
 
 async def change(seconds: float, rounds: int) -> None:
-    """Service round a change of settings, beside none, by turns: the part of requests that play."""
-    figures: dict[str, list[float]] = {"none": [], "side by side": [], "apart": []}
+    """Service round a change of settings, beside none, by turns: the part of requests that play, and of the
+    revenue that the rungs at which they begin earn."""
+    figures: dict[str, list[tuple[float, float]]] = {"none": [], "side by side": [], "apart": []}
     for _ in range(rounds):
         for how, found in figures.items():
             with tempfile.TemporaryDirectory() as folder:
                 lease = 3000.0 if how == "apart" else 0.0
                 deployment = fleet_of(3, lease_ms=lease, hosts=12, rules__warm_after_ms=5000.0)
                 async with works(Path(folder), deployment, 3) as here:
-                    answers: list[int] = []
+                    answers: list[float] = []
 
-                    async def one(number: int, here: Works = here, answers: list[int] = answers) -> None:
-                        status, _ = await here.ask(number % 3, lasts=5, viewer=str(number))
-                        answers.append(status)
+                    async def one(number: int, here: Works = here, answers: list[float] = answers) -> None:
+                        status, told = await here.ask(number % 3, lasts=5, viewer=str(number))
+                        earns = here.deployment.ladder.earns
+                        answers.append(earns[told["rung"]] if status == 201 else 0.0)
 
                     tasks = []
                     began, number = time.monotonic(), 0
@@ -221,21 +233,29 @@
                         number += 1
                         await asyncio.sleep(0.1)
                     await asyncio.gather(*tasks)
-                    found.append(answers.count(201) / len(answers))
+                    plays = sum(1 for one in answers if one) / len(answers)
+                    found.append((plays, sum(answers) / len(answers)))
     for how, found in figures.items():
-        print(
-            f"{how:14} {statistics.mean(found):.3f} ({min(found):.3f} to {max(found):.3f}) of requests play"
-        )
+        plays, earns = zip(*found, strict=True)
+        told = f"{statistics.mean(earns):.3f} ({min(earns):.3f} to {max(earns):.3f})"
+        print(f"{how:14} {statistics.mean(plays):.3f} of requests play, {told} of the revenue")
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("what", choices=["model", "cost", "change"])
+    parser.add_argument("what", choices=["model", "cost", "change", "load"])
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--rate", type=float, default=0.0)
+    parser.add_argument("--out", type=int, default=32)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--rounds", type=int, default=3)
     words = parser.parse_args()
+    if words.what == "load":
+        took = asyncio.run(load(("127.0.0.1", words.port), words.seconds, words.out, words.rate))
+        print(msgspec.json.encode(took).decode())
+        return
     runs: dict[str, Callable[[], None]] = {
         "model": model,
         "cost": lambda: asyncio.run(cost(words.seconds, words.rounds)),
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -80,6 +80,7 @@
 )
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
+@click.option("--wall-speed", type=float, default=1.0, hidden=True)
 @click.option("--fleet-plant", type=click.IntRange(1, 4), default=None, hidden=True)
 def edge(
     file: str,
@@ -94,6 +95,7 @@
     desks: tuple[tuple[str, int], ...],
     ahead: float,
     speed: float,
+    wall_speed: float,
     fleet_plant: int | None,
 ) -> None:
     """Run one gateway until SIGTERM."""
@@ -114,9 +116,11 @@
         folder = Path(state) if state else None
         together: Callable[[Program], Together] = Alone.of
         if desks and folder is not None:
+            from burlmast.fleet.clock_shell import Clocks
             from burlmast.fleet.join import joining
 
-            deployment, together = joining(deployment, number, folder, desks, ahead, speed, fleet_plant)
+            clocks = Clocks(ahead, speed, wall_speed)
+            deployment, together = joining(deployment, number, folder, desks, clocks, fleet_plant)
         listens = (list_address, listen, operators)
         code = asyncio.run(run(deployment, number, *listens, say, maker, zone, seed, folder, together))
     except (StoreFault, FolderInUse) as why:
--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -40,6 +40,7 @@
 @click.option("--begin", is_flag=True, help="A fleet begins with this one desk, if its disk is blank.")
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
+@click.option("--wall-speed", type=float, default=1.0, hidden=True)
 def desk(
     file: str,
     number: int,
@@ -49,6 +50,7 @@
     begin: bool,
     ahead: float,
     speed: float,
+    wall_speed: float,
 ) -> None:
     """Run one desk until SIGTERM: it holds orders, gives leases and gathers ledgers. No gateway waits for
     it."""
@@ -63,7 +65,7 @@
         raise click.UsageError("an even number of desks bears no more than one less; name 1, 3 or 5")
     if begin and len(all_desks) > 1:
         raise click.UsageError("with several desks a fleet begins by `burlmast fleet begin`")
-    clocks = Clocks(ahead, speed)
+    clocks = Clocks(ahead, speed, wall_speed)
     try:
         work = run(deployment, number, all_desks, listen, Path(state), clocks, begin, say, until_interrupted)
         raise SystemExit(asyncio.run(work))
--- a/burlmast/fleet/clock_shell.py
+++ b/burlmast/fleet/clock_shell.py
@@ -8,11 +8,11 @@
 class Clocks:
     """A steady clock that goes on while the machine sleeps, for leases, and the wall clock, for people."""
 
-    def __init__(self, ahead_s: float = 0.0, speed: float = 1.0) -> None:
-        """`ahead_s` and `speed` are for trials: a wall clock that is wrong, clocks that run at another
-        speed."""
-        self._ahead, self._speed = int(ahead_s * 1e9), speed
-        self._zero = self._raw()
+    def __init__(self, ahead_s: float = 0.0, speed: float = 1.0, wall_speed: float = 1.0) -> None:
+        """All are for trials: a wall clock that is wrong, clocks that run at another speed, a wall clock that
+        does (under 0: runs back)."""
+        self._ahead, self._speed, self._wall_speed = int(ahead_s * 1e9), speed, wall_speed
+        self._zero, self._began = self._raw(), time.time_ns()
 
     @staticmethod
     def _raw() -> int:
@@ -26,4 +26,7 @@
 
     def wall(self) -> int:
         """Nanoseconds of the wall clock."""
-        return time.time_ns() + self._ahead
+        wall = time.time_ns()
+        if self._wall_speed != 1.0:
+            wall = self._began + int((wall - self._began) * self._wall_speed)
+        return wall + self._ahead
--- a/burlmast/fleet/join.py
+++ b/burlmast/fleet/join.py
@@ -33,14 +33,12 @@
     number: int,
     state: Path,
     desks: tuple[Address, ...],
-    ahead: float = 0.0,
-    speed: float = 1.0,
+    clocks: Clocks,
     plant: int | None = None,
 ) -> tuple[Deployment, Callable[[Host], FleetSide]]:
     """The settings in force from the start, and what makes the gateway's part in the fleet. Raises
     FolderInUse."""
     start = open_folder(state / f"gateway-{number}", own)
-    clocks = Clocks(ahead, speed)
 
     def made(program: Host) -> FleetSide:
         seed = secrets.randbits(63)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -334,6 +334,7 @@
             skews = (("300", "1.02"), ("-300", "0.98"), ("0", "1.0"), ("7200", "0.98"))
             for one, (ahead, speed) in zip(here.gateways, skews, strict=True):
                 one.extra = ["--ahead", ahead, "--speed", speed]
+            here.gateways[2].extra += ["--wall-speed", "-60"]  # its wall clock runs back a minute a second
             await asyncio.gather(*(one.start() for one in here.gateways))
             await here.ready(0, 1, 2, 3)
             traffic = Traffic(here)
