--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -15,6 +15,7 @@
 import msgspec
 import structlog
 
+import burlmast.commands.drain  # noqa: F401  its commands join `fleet`
 from burlmast.commands.fleet import desk, fleet
 from burlmast.commands.shared import PLACE, say, settings, until_interrupted
 from burlmast.settings.read import BadSettings, evaluate
--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -37,6 +37,7 @@
     "--desk", "desks", type=PLACE, multiple=True, help="All desks in their order, this one among them."
 )
 @click.option("--state", type=click.Path(file_okay=False), required=True, help="A folder for its disk.")
+@click.option("--list", "list_address", type=PLACE, default=None, help="Tell the list of hosts that drain.")
 @click.option("--begin", is_flag=True, help="A fleet begins with this one desk, if its disk is blank.")
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
@@ -47,6 +48,7 @@
     listen: Address,
     desks: tuple[Address, ...],
     state: str,
+    list_address: Address | None,
     begin: bool,
     ahead: float,
     speed: float,
@@ -66,14 +68,33 @@
     if begin and len(all_desks) > 1:
         raise click.UsageError("with several desks a fleet begins by `burlmast fleet begin`")
     clocks = Clocks(ahead, speed, wall_speed)
+    words = deployment, number, all_desks, listen, Path(state), clocks, begin
     try:
-        work = run(deployment, number, all_desks, listen, Path(state), clocks, begin, say, until_interrupted)
+        work = run(*words, say, until_interrupted, lambda one: keeping(one, list_address))
         raise SystemExit(asyncio.run(work))
     except (OSError, sqlite3.Error) as why:
         click.echo(f"desk: {why}", err=True)
         raise SystemExit(1) from None
 
 
+def keeping(desk: Any, list_address: Address | None) -> Any:
+    """A desk's part in drains and releases."""
+    from burlmast.edge.loads import read_load
+    from burlmast.fleet.keeper_shell import Keeper
+
+    async def tell(rows: dict[int, str]) -> None:
+        assert list_address is not None
+        body = msgspec.json.encode([{"host": host, "standing": how} for host, how in sorted(rows.items())])
+        status, _, told = await Whole.of(
+            desk.pool, list_address, b"POST", b"/v1/rows", JSON, body, within=desk.beat_s
+        )
+        if status != 200:
+            raise ConnectionError(f"the list answers {status}: {told[:100]!r}")
+
+    streams = lambda headers: read_load(headers).streams  # noqa: E731
+    return Keeper(desk, streams, None, tell if list_address is not None else None)
+
+
 @click.group()
 def fleet() -> None:
     """Who acts on which version, orders, and the audit."""
@@ -154,7 +175,7 @@
         for speaker in sorted(speakers) if not anew else ():
             status, told = await call(pool, split_address(speaker), "/fleet/v1/book", within=3.0)
             known: Book = msgspec.json.decode(told, type=Book) if status == 200 else Book()
-            if known.fleet and (not book.orders or known.number > book.number):
+            if known.fleet and (not book.orders or known.at > book.at):
                 book = known
         for address in desks:
             status, told = await call(pool, address, "/fleet/v1/begin", msgspec.json.encode(Begin(book)))
@@ -249,7 +270,7 @@
 def book_of(found: list[Status | str]) -> Book:
     """The latest book that a desk has."""
     books = [one.book for one in found if isinstance(one, Status)]
-    return max(books, key=lambda one: one.number, default=Book())
+    return max(books, key=lambda one: one.moved, default=Book())
 
 
 async def rows_of(pool: Pool, desks: tuple[Address, ...]) -> tuple[list[Row], list[Row], list[str]]:
--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -85,7 +85,8 @@
         self._addresses: dict[str, str] = {}  # what counts as served, by public id
         self.driver: Driver | None = None
         self.notices: Notices | None = None
-        self.shut: Callable[[], int] = lambda: 0  # nanoseconds until a viewer may ask again, 0 where open
+        self.shut: Callable[[], str] = lambda: ""  # why nothing new is taken, empty where it is
+        self.shut_advice: Callable[[], int] = lambda: SECOND  # nanoseconds until a viewer may ask again
         self.closing = False
 
     def offer(self, deployment: Deployment) -> None:
@@ -150,8 +151,7 @@
             return
         shut = self.shut()
         if shut:
-            told = "rejected: this gateway may not act until it has caught up with the others; ask another"
-            exchange.refuse(503, told, self.advice(shut))
+            exchange.refuse(503, f"rejected: {shut}; ask another", self.advice(self.shut_advice()))
             return
         lacking = self._lacks(wanted)
         if lacking:
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -24,7 +24,7 @@
 from burlmast.edge.listing import ListSide
 from burlmast.edge.operators import Operators
 from burlmast.edge.redial import Redial
-from burlmast.edge.together import Alone, Together
+from burlmast.edge.together import Alone, Together, Work
 from burlmast.hostbook.keeper import Keeper
 from burlmast.hostbook.shelf import Shelf
 from burlmast.hostbook.snapshot import rows as rows_of
@@ -90,7 +90,8 @@
             self._under,
         )
         self.together = together(self)
-        self.door.shut = self._shut
+        self.door.shut = lambda: self.together.closed
+        self.door.shut_advice = lambda: self.together.advice
         self._zone, self._changes = zone, 0
         seed = secrets.randbits(63) if seed is None else seed
         self.list: ListSide | None = None
@@ -247,8 +248,26 @@
     def _under(self, one: Try) -> tuple[str, int, int, int] | None:
         return self.together.set_up(one.playback.public, one.host, one.place)
 
-    def _shut(self) -> int:
-        return 0 if self.together.may_take() else self.together.advice
+    def work(self) -> Work:
+        """What there is to do, and what the decisions see; for the fleet, each beat."""
+        driver, policy = self.driver, self.driver.policy
+        asked = sum(
+            self._rate(one.wanted.plan, one.rung) for one in driver.held.values() if one.state == "playing"
+        )
+        hosts = policy.hosts.values() if isinstance(policy, Gateway) else ()
+        fallen = tuple(sorted(one.id for one in hosts if one.fell))
+        busy = driver.asked + driver.playing
+        return Work(busy, self.ready, self._zone, asked, fallen, dict(driver.counts))
+
+    def cut(self) -> None:
+        """End what plays: its viewers ask another gateway."""
+        for playback in [one for one in self.driver.held.values() if one.state == "playing"]:
+            self.driver.leave(self.now(), playback)
+        self.arm()
+
+    def restate(self, rows: tuple[api.HostRow, ...]) -> None:
+        """Rows of the list that are to be acted on otherwise now."""
+        self._listed(Scope.CHANGES, rows, {}, by_list=False)
 
     def change_settings(self, deployment: Deployment) -> None:
         """From now on these are in force: what plays and what is asked goes over to decisions by them."""
@@ -328,17 +347,19 @@
             complete = scope is not Scope.CHANGES
             self.together.listed(complete, rows, lambda: self._listed(scope, rows, where))
 
-    def _listed(self, scope: Scope, rows: tuple[api.HostRow, ...], where: dict[int, str]) -> None:
-        timed = self.timed(rows)
+    def _listed(
+        self, scope: Scope, rows: tuple[api.HostRow, ...], where: dict[int, str], by_list: bool = True
+    ) -> None:
+        timed = self.timed(tuple(self.together.stands(row) for row in rows))
         if scope is not Scope.FAILED:
             if not self.ready:
                 self.log.info("has a list", hosts=len(rows))
             self.ready = True
         if scope is Scope.COMPLETE:
             self.from_disk = False
-        if self._keeper is not None and scope in (Scope.COMPLETE, Scope.CHANGES):
+        if self._keeper is not None and by_list and scope in (Scope.COMPLETE, Scope.CHANGES):
             self._keeper.heard(scope is Scope.COMPLETE, rows, where)
-        leaving = [row for row in rows if row.standing is not api.Standing.READY]
+        leaving = [row for row in timed if row.standing is not api.Standing.READY]
         for row in leaving:
             self.log.info("host leaves", host=row.host, standing=row.standing.value)
         self.driver.listed(self.now(), scope, timed, where)
--- a/burlmast/edge/together.py
+++ b/burlmast/edge/together.py
@@ -3,11 +3,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from burlmast import api
 from burlmast.http1.server import Exchange
 
+
+class Work(NamedTuple):
+    """What a gateway has to do, and what it sees."""
+
+    busy: int  # requests held and playbacks that play
+    ready: bool  # it has a list
+    zone: int
+    asked: float  # kB/s of all that plays
+    fallen: tuple[int, ...]  # hosts that failed it and have not served since
+    counts: dict[str, int]  # what became of requests in this life
+
+
 Under = tuple[str, int, int, int]  # life, page, act, epoch
 
 
@@ -23,6 +35,14 @@
     def may_take(self) -> bool:
         """Whether something new may be taken or sent at this very moment."""
 
+    @property
+    def closed(self) -> str:
+        """Why nothing new is taken at the door at this very moment; empty where it is. What is held is
+        answered all the same."""
+
+    def stands(self, row: api.HostRow) -> api.HostRow:
+        """A row of the list as it is to be acted on."""
+
     @property
     def shut_out(self) -> bool:
         """As `may_take`, asked by operators: nothing is counted or logged."""
@@ -52,6 +72,7 @@
 
     advice = 0
     shut_out = False
+    closed = ""
 
     @classmethod
     def of(cls, program: object) -> Together:
@@ -67,6 +88,9 @@
     def may_take(self) -> bool:
         return True
 
+    def stands(self, row: api.HostRow) -> api.HostRow:
+        return row
+
     def act(self, kind: str) -> int:
         return 0
 
--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -4,18 +4,19 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 import sqlite3
 import time
 import zlib
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import structlog
 
-from burlmast.fleet import orders, register
+from burlmast.fleet import going, orders, register
 from burlmast.fleet.clock_shell import Clocks
 from burlmast.fleet.desk_store import DeskStore
 from burlmast.fleet.lease import DeskLeases
@@ -23,6 +24,7 @@
 from burlmast.fleet.members_shell import Mingling
 from burlmast.fleet.orders import Book, Refused
 from burlmast.fleet.register import Answer, Ballot, Kept, Round
+from burlmast.fleet.sight import Sight
 from burlmast.fleet.stamp import canonical, digest
 from burlmast.fleet.words import (
     Accept,
@@ -50,9 +52,27 @@
 Words = TypeVar("Words")
 
 
+class Leads(Protocol):
+    """The desk's part in drains and releases."""
+
+    waits: dict[int, str]
+
+    @property
+    def leads(self) -> bool:
+        """Whether this desk leads them."""
+
+    async def run(self) -> None:
+        """Until cancelled."""
+
+    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+        """The change that an operator's word asks for, None where the path is not for this."""
+
+
 class Desk:
     """One desk. Made on a running loop."""
 
+    keeper: Leads | None = None
+
     def __init__(
         self, deployment: Deployment, number: int, desks: list[Address | None], folder: Path, clocks: Clocks
     ) -> None:
@@ -69,6 +89,8 @@
         self.leases.lost(self.store.least())
         self.beat_s = terms.beat_ms / 1000
         self.members: dict[tuple[int, str], tuple[int, Hello]] = {}
+        self.sight = Sight(secrets.token_hex(8), int(terms.out.silent_beats * terms.beat_ms * 1e6))
+        self._accepted = b"", Book()  # the register's value here, and as read
         self.pool = Pool(connect_s=min(0.5, self.beat_s))
         self.server = Server(self.application, Bounds(body=BODY, idle_s=120.0))
         self.loop = asyncio.get_running_loop()
@@ -101,6 +123,8 @@
                 self.mingling.met(f"desk.{desk}", address)
         self._spawn(self.mingling.run())
         self._spawn(self._look_after())
+        if self.keeper is not None:
+            self._spawn(self.keeper.run())
         self.log.info("started", port=found, voting=self.kept.voting)
         return found
 
@@ -136,6 +160,8 @@
         if exchange.method == b"POST" and path in post:
             take = post[path]
             exchange.collect(BODY, lambda body: self._guarded(exchange, take, body))
+        elif exchange.method == b"POST" and self.keeper is not None:
+            exchange.collect(BODY, lambda body: self._guarded(exchange, self._say(path), body))
         elif exchange.method != b"GET":
             exchange.refuse(405 if path in post else 404, "there is nothing here for that method")
         elif path.startswith("/fleet/v1/settings/"):
@@ -174,7 +200,10 @@
         ask = hello.ask
         if hello.rows:
             self.store.take(hello.rows)
-        self.members[ask.gateway, ask.life] = now, hello
+        known = self.members.get((ask.gateway, ask.life))
+        if known is None or known[1].ask.count < ask.count:  # a late word undoes nothing
+            self.members[ask.gateway, ask.life] = now, hello
+        self.sight.hear(now, hello)
         if self.mingling is not None and hello.operators:
             self.mingling.met(f"{ask.gateway}.{ask.life}", split_address(hello.operators))
         if not self.kept.voting:
@@ -187,8 +216,22 @@
         if ask.epoch >= self.leases.floor:
             self.waits = given.why  # empty once the newest epoch is given
         have = {life: self.store.have.get(life, 0) for life in hello.has}
-        book = self.learned if self.learned.number > hello.book or not hello.fleet else None
-        exchange.json(200, Welcome(given, book, have, self._peers(now)))
+        book = self.learned if self.learned.at > hello.book or not hello.fleet else None
+        taken = self.accepted
+        lets = (
+            orders.lets(taken, ask.gateway, hello.wants[0]),
+            going.lets(taken.outs, ask.gateway, hello.away.disk, hello.wants[1]),
+        )
+        token = self.sight.token(now)
+        exchange.json(200, Welcome(given, book, have, self._peers(now), lets, token))
+
+    @property
+    def accepted(self) -> Book:
+        """What this desk has accepted for the register itself; a majority of such answers is never behind
+        what a majority has taken."""
+        if self._accepted[0] is not self.kept.value:
+            self._accepted = self.kept.value, orders.read_book(self.kept.value)
+        return self._accepted[1]
 
     def _peers(self, now: int) -> tuple[tuple[int, str, str], ...]:
         lately = now - int(10 * self.beat_s * 1e9)
@@ -235,13 +278,15 @@
 
     def hear(self, book: Book) -> None:
         """A book that another member knows; it was taken by a majority, or nobody would know it."""
-        if book.fleet == self.learned.fleet:
+        # Gateways are not told of each move of the lead: theirs may be the same revision, and behind in that.
+        if book.fleet == self.learned.fleet and book.at > self.learned.at:
             self._learned(book)
 
     def _learned(self, book: Book) -> None:
-        if book.number > self.learned.number or (book.fleet and not self.learned.fleet):
+        if book.moved > self.learned.moved or (book.fleet and not self.learned.fleet):
+            if book.number != self.learned.number or not self.learned.fleet:
+                self.log.info("has a book of orders", fleet=book.fleet, order=book.number)
             self.learned = book
-            self.log.info("has a book of orders", fleet=book.fleet, order=book.number)
 
     def _put_settings(self, exchange: Exchange, body: bytes) -> None:
         exchange.json(200, {"digest": self._keep_settings(body)})
@@ -262,11 +307,26 @@
 
     def _order(self, exchange: Exchange, body: bytes) -> None:
         wanted: Wanted = msgspec.json.decode(body, type=Wanted)
-        self._spawn(self._answer_order(exchange, wanted))
+        mine = lambda book: next((one for one in book.orders if one.request == wanted.request), None)  # noqa: E731
+        self._spawn(self._answer(exchange, self.order(wanted), mine))
+
+    def _say(self, path: str) -> Callable[[Exchange, bytes], None]:
+        """An operator's word on drains and releases."""
+
+        def take(exchange: Exchange, body: bytes) -> None:
+            change = self.keeper.take(path, body) if self.keeper is not None else None
+            if change is None:
+                exchange.refuse(404, "there is nothing here for that method")
+            else:
+                self._spawn(self._answer(exchange, self.change(change), lambda book: book))
+
+        return take
 
-    async def _answer_order(self, exchange: Exchange, wanted: Wanted) -> None:
+    async def _answer(
+        self, exchange: Exchange, work: Awaitable[Book], told: Callable[[Book], object]
+    ) -> None:
         try:
-            book = await self.order(wanted)
+            book = await work
         except Refused as why:
             exchange.refuse(409, str(why))
         except NoMajority as why:
@@ -274,8 +334,7 @@
         except (sqlite3.Error, OSError) as why:
             exchange.refuse(507, f"this desk's disk: {why}")
         else:
-            mine = next((one for one in book.orders if one.request == wanted.request), None)
-            exchange.json(200, mine)
+            exchange.json(200, told(book))
 
     def _begin(self, exchange: Exchange, body: bytes) -> None:
         book: Book = msgspec.json.decode(body, type=Begin).book
@@ -323,6 +382,8 @@
             self.store.contradicting(),
             self.waits,
             self.mingling.states() if self.mingling is not None else {},
+            dict(self.keeper.waits) if self.keeper is not None else {},
+            self.keeper.leads if self.keeper is not None else False,
         )
 
     # Changes.
@@ -331,7 +392,7 @@
         """Give an order. Raises Refused, NoMajority."""
         terms = self.deployment.edge.fleet
         if wanted.undo:
-            return await self._change(
+            return await self.change(
                 lambda book: orders.withdraw(book, wanted.undo, wanted.request, self.clocks.wall())
             )
         name = self._keep_settings(wanted.settings.encode("utf-8"))
@@ -355,28 +416,38 @@
             wanted.within_ms or terms.within_ms,
             self.clocks.wall(),
         )
-        return await self._change(lambda book: orders.give(book, order, wanted.after))
+        return await self.change(lambda book: orders.give(book, order, wanted.after))
 
-    async def _change(self, change: Callable[[Book], Book]) -> Book:
-        """Change the register's value. Raises Refused, NoMajority."""
+    async def change(self, change: Callable[[Book], Book]) -> Book:
+        """Change the register's value; the book then, the same where `change` gives back what it was given.
+        Raises Refused, NoMajority."""
         refused: list[Refused] = []
+        found = [Book()]
 
         def apply(raw: bytes) -> bytes | None:
             refused.clear()
+            book = orders.read_book(raw)
+            if book.fleet == self.learned.fleet and book.moved < self.learned.moved:
+                # A majority must know what one took; some disk went back, and what is known here stands.
+                self.log.error("the register went back", to=book.moved, known=self.learned.moved)
+                book = self.learned
             try:
-                return orders.write_book(change(orders.read_book(raw)))
+                found[0] = change(book)
             except Refused as why:
                 refused.append(why)
                 return None
+            return (
+                None if found[0] is book and orders.write_book(book) == raw else orders.write_book(found[0])
+            )
 
         async with self._changing:
             one = await self._settle(apply)
         if refused:
             raise refused[0]
-        book = orders.read_book(one.value)
-        self._learned(book)
-        self._spawn(self._tell(one.value))
-        return book
+        self._learned(found[0])
+        if one.state == "done":
+            self._spawn(self._tell(one.value))
+        return found[0]
 
     async def _tell(self, value: bytes) -> None:
         await self._everywhere("/fleet/v1/learn", value)
@@ -464,10 +535,10 @@
             old = self.clocks.steady() - FORGOTTEN
             self.members = {key: one for key, one in self.members.items() if one[0] >= old}
             for work in (self._fill, self._read, self._sync_rows, self._sync_settings):
-                await self._quietly(work)
+                await self.quietly(work)
             await asyncio.sleep(self.beat_s * (0.75 + self._pause(0) / self.beat_s))
 
-    async def _quietly(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def quietly(self, work: Callable[[], Awaitable[None]]) -> None:
         try:
             await work()
         except (ConnectionError, TimeoutError, NoMajority, Refused):
@@ -504,7 +575,7 @@
         for address in self._gateways():
             with suppress(ConnectionError, TimeoutError, Refused):
                 _, _, told = await Whole.of(self.pool, address, b"GET", b"/fleet/v1/book", within=self.beat_s)
-                known = max(known, orders.read_book(told), key=lambda one: (bool(one.fleet), one.number))
+                known = max(known, orders.read_book(told), key=lambda one: (bool(one.fleet), one.at))
         if known.fleet:
             self.log.warning("goes on with the book of the gateways", fleet=known.fleet, order=known.number)
         book = known if known.fleet else first_book(self.deployment, time.time_ns())
@@ -514,7 +585,7 @@
     async def _read(self) -> None:
         """Learn what a majority holds, where this desk may have missed it."""
         held = orders.read_book(self.kept.value)
-        if self.kept.voting and (held.number > self.learned.number or not self.learned.fleet):
+        if self.kept.voting and (held.moved > self.learned.moved or not self.learned.fleet):
             async with self._changing:
                 one = await self._settle(lambda raw: raw)
             self._learned(orders.read_book(one.value))
@@ -575,9 +646,12 @@
     begin: bool,
     told: Callable[[dict[str, Any]], None],
     until: Callable[[], Awaitable[None]],
+    keeper: Callable[[Desk], Leads],
 ) -> int:
-    """Run one desk until it is stopped; the exit code. Raises OSError, sqlite3.Error."""
+    """Run one desk until it is stopped; the exit code. `keeper` makes its part in drains and releases. Raises
+    OSError, sqlite3.Error."""
     desk = Desk(deployment, number, desks, folder, clocks)
+    desk.keeper = keeper(desk)
     desk.begins = begin
     try:
         port = await desk.start(*listen)
--- a/burlmast/fleet/follow.py
+++ b/burlmast/fleet/follow.py
@@ -101,9 +101,18 @@
         """As `take`, once `due` has come."""
         return self.take(now, "due", self.why) if now >= self.due else ""
 
-    def may_take(self, epoch: int) -> bool:
-        """Whether what is ready may be taken by a gateway that acts in this epoch alone."""
-        return self.state == "ready" and self.epoch == epoch
+    def may_take(self, epoch: int, consent: bool = True) -> bool:
+        """Whether what is ready may be taken by a gateway that acts in this epoch alone. `consent`: whether a
+        majority of desks lets a watched order be taken."""
+        order = self.order
+        free = order is None or not order.watched or consent
+        return self.state == "ready" and self.epoch == epoch and free
+
+    @property
+    def watched(self) -> int:
+        """The watched order that waits for consent, 0 for none."""
+        order = self.order
+        return order.number if order is not None and order.watched and self.state == "ready" else 0
 
     def _pause(self) -> int:
         # Danger: gateways that failed together would all come back together.
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -16,17 +16,20 @@
 import msgspec
 import structlog
 
+from burlmast import api
 from burlmast.fleet import orders
 from burlmast.fleet.clock_shell import Clocks
 from burlmast.fleet.follow import Follower, choices
+from burlmast.fleet.going import Consent, Going, Traveller
 from burlmast.fleet.lease import Ask, GatewayLease
 from burlmast.fleet.ledger import Ledger
 from burlmast.fleet.ledger_shell import Files, FolderInUse, Lock, Scribe
 from burlmast.fleet.members import Members
 from burlmast.fleet.members_shell import WORD, Mingling
 from burlmast.fleet.orders import Book
+from burlmast.fleet.outs import hosts_out
 from burlmast.fleet.stamp import ListName, Stamp, canonical, digest
-from burlmast.fleet.words import Hello, Placed, Welcome
+from burlmast.fleet.words import Away, Hello, Inventory, ListedHost, Placed, Welcome
 from burlmast.http1.client import Address, Pool, Whole
 from burlmast.http1.messages import split_address
 from burlmast.http1.server import Exchange
@@ -38,9 +41,49 @@
 MS = 1_000_000
 
 
+class Work(Protocol):
+    """What a gateway has to do, and what it sees."""
+
+    @property
+    def busy(self) -> int:
+        """Requests held and playbacks that play."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether it has a list."""
+
+    @property
+    def zone(self) -> int:
+        """Its zone."""
+
+    @property
+    def asked(self) -> float:
+        """kB/s of all that plays."""
+
+    @property
+    def fallen(self) -> tuple[int, ...]:
+        """Hosts that failed it and have not served since."""
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """What became of requests in this life."""
+
+
 class Around(Protocol):
     """What the gateway program gives."""
 
+    def work(self) -> Work:
+        """As of now."""
+
+    def cut(self) -> None:
+        """End what plays."""
+
+    def restate(self, rows: tuple[api.HostRow, ...]) -> None:
+        """These rows of the list stand otherwise now; see `FleetSide.stands`."""
+
+    def address(self, host: int) -> Address | None:
+        """Where the list says that a host is."""
+
     def change_settings(self, deployment: Deployment) -> None:
         """From now on these are in force."""
 
@@ -54,6 +97,7 @@
     epoch: int = 0
     let: bool = True  # a majority has let it act in this epoch
     life: str = ""
+    going: Going = Going()
 
 
 class Start(NamedTuple):
@@ -156,6 +200,17 @@
             self._trouble,
         )
         self._list = ListName()
+        self._rows: dict[int, api.HostRow] = {}  # as the list says
+        self._hosts_out: dict[int, str] = {}
+        kept = start.standing.going
+        kept = kept if kept.disk else Going(secrets.token_hex(8))
+        self.traveller = Traveller(number, kept, int(terms.out.alone_ms * MS))
+        self._going_kept = Going()  # as it is on the disk
+        self._began = clocks.steady()
+        self._heard = [clocks.steady() for _ in desks]
+        self._tokens = [("", 0) for _ in desks]
+        self._consents = Consent(len(desks)), Consent(len(desks))  # for a watched order, for a leave
+        self._consent_ns = int(2 * terms.beat_ms * MS)
         self._programme = 0
         self._build = build
         self._announced: Stamp | None = None
@@ -210,6 +265,7 @@
         self._spawn(self.mingling.run())
         if not self.follower.caught_up:
             self._do(self.follower.take(self.clocks.steady(), "ordered"))
+        self._hear_outs()
 
     def _spawn(self, work: Any) -> None:
         task = self._loop.create_task(work)
@@ -238,10 +294,17 @@
             self.turned_away += 1
         return fresh
 
+    @property
+    def closed(self) -> str:
+        """Why nothing new is taken at the door; empty where it is."""
+        if not self.may_take():
+            return "this gateway may not act until it has caught up with the others"
+        return "this gateway is being drained" if self.traveller.shut else ""
+
     @property
     def shut_out(self) -> bool:
         """Whether it takes nothing new now."""
-        return not self.may_act(self.clocks.steady())
+        return self.traveller.shut or not self.may_act(self.clocks.steady())
 
     @property
     def advice(self) -> int:
@@ -274,6 +337,8 @@
     def listed(self, complete: bool, rows: Any, then: Callable[[], None]) -> None:
         """News of the list; `then` once the ledger can say so."""
         self._list.heard(complete, rows)
+        self._rows = {} if complete else self._rows
+        self._rows.update({row.host: row for row in rows})
         self._turn(then, hosts=self._list.name)
 
     def programme(self, version: int) -> None:
@@ -327,6 +392,9 @@
             self.follower.ready,
             self.before,
         )
+        wants = self.follower.watched, self._wanted_leave()
+        for consent, what in zip(self._consents, wants, strict=True):
+            consent.about(now, what)
         left = 0.0 if lease.free else (lease.until(now) - now) / 1e9
         hello = Hello(
             ask,
@@ -334,13 +402,16 @@
             self.stamp(),
             "shut out" if not fresh else self.follower.state,
             self.follower.why or ("" if fresh else lease.why),
-            self.book.number,
+            self.book.at,
             self.ledger.acts,
             fresh,
             left,
             self.book.fleet,
             self.scribe.has,
             tuple(rows),
+            self._away(now),
+            wants,
+            self._tokens[desk],
         )
         body = msgspec.json.encode(hello)
         status, _, told = await Whole.of(
@@ -354,6 +425,10 @@
             if self.mingling is not None:
                 self.mingling.met(f"{number}.{life}", split_address(address))
         self.lease.answered(desk, self.clocks.steady(), now, welcome.given)
+        self._heard[desk] = max(self._heard[desk], now)
+        self._tokens[desk] = welcome.token
+        for consent, what, yes in zip(self._consents, wants, welcome.lets, strict=True):
+            consent.answered(desk, now, what, yes)
         if welcome.book is not None:
             self.hear(welcome.book)
         self._look()
@@ -374,8 +449,68 @@
         if self.book != before:
             self._keep_standing()
             self._hasten()
+            self._hear_outs()
         self._do(effect)
 
+    # Leaves.
+
+    def _wanted_leave(self) -> int:
+        leave = self.traveller.leave
+        asks = leave is not None and not leave.back and self.traveller.state in ("in", "late")
+        return leave.number if leave is not None and asks else 0
+
+    def _away(self, now: int) -> Away:
+        work, kept, traveller = self._around.work(), self._going_kept, self.traveller
+        leave = traveller.leave.number if traveller.leave is not None else 0
+        told = traveller.state, traveller.why, leave, kept.finished, kept.was_out
+        warm = work.ready and now - self._began >= self.settings.rules.warm_after_ms * MS
+        return Away(kept.disk, *told, work.zone, work.ready, warm, work.asked, work.fallen, work.counts)
+
+    def _hear_outs(self) -> None:
+        outs = self.book.outs
+        self._travels(self.traveller.hear(self.clocks.steady(), outs))
+        before, self._hosts_out = self._hosts_out, hosts_out(outs.leaves)
+        moved = {host for host, _ in before.items() ^ self._hosts_out.items()}
+        rows = tuple(self._rows[host] for host in sorted(moved) if host in self._rows)
+        if rows:
+            self._around.restate(rows)
+
+    def stands(self, row: api.HostRow) -> api.HostRow:
+        """A row as it is to be acted on: a host under leave is draining, whatever the list says yet."""
+        how = self._hosts_out.get(row.host)
+        if how is None or row.standing is api.Standing.GONE:
+            return row
+        return row._replace(standing=api.Standing(how))
+
+    def _travel(self) -> None:
+        """Whether time, consent or what plays moves this gateway on its way out or back."""
+        now, work = self.clocks.steady(), self._around.work()
+        majority = sorted(self._heard, reverse=True)[len(self._heard) // 2]
+        warm = work.ready and now - self._began >= self.settings.rules.warm_after_ms * MS
+        consent = self._wanted_leave() == self._consents[1].what and self._consents[1].given(
+            now, self._consent_ns
+        )
+        self._travels(self.traveller.look(now, consent, bool(work.busy), warm, majority))
+
+    def _travels(self, effect: str) -> None:
+        if not effect:
+            return
+        state, why = self.traveller.state, self.traveller.why
+        self.log.info("leave", state=state, why=why)
+        if effect == "cut":
+            self._around.cut()
+        self._hasten()
+        self._spawn(self._keep_going())
+
+    async def _keep_going(self) -> None:
+        state = self.traveller.state
+        why = await self._keep_now()
+        # What is said to be over must be so for every later life on this disk.
+        if state == "finishing" and self.traveller.state == "finishing":
+            if why:
+                await asyncio.sleep(self._beat_s)
+            self._travels(self.traveller.take(self.clocks.steady(), "not kept" if why else "kept", why))
+
     def _hasten(self) -> None:
         for one in self._hurry:
             one.set()
@@ -392,7 +527,9 @@
         if self.lease.fresh(self.clocks.steady()) and not self._let:
             self._let = True
             self._keep_standing()
-        if self.follower.may_take(self.lease.epoch):
+        now, consent = self.clocks.steady(), self._consents[0]
+        lets = consent.what == self.follower.watched and consent.given(now, self._consent_ns)
+        if self.follower.may_take(self.lease.epoch, lets):
             self._do(self.follower.take(self.clocks.steady(), "let"))
 
     async def _moved(self) -> None:
@@ -508,23 +645,30 @@
             self.lease.epoch,
             self._let,
             self.life,
+            self.traveller.kept,
         )
 
     def _keep_standing(self) -> None:
         self._spawn(self._keep_now())
 
-    async def _keep_now(self) -> None:
+    async def _keep_now(self) -> str:
+        """Why it could not be kept, empty where it is on the disk."""
+        standing = self._standing()
         try:
-            body = msgspec.msgpack.encode(self._standing())
+            body = msgspec.msgpack.encode(standing)
             await self.scribe.ask(lambda files: files.keep("standing", body))
         except (sqlite3.Error, LookupError) as why:
             self._trouble(f"what is in force is not kept: {why}")
+            return str(why)
+        self._going_kept = standing.going
+        return ""
 
     async def _look_after(self) -> None:
         while not self._closed:
             await asyncio.sleep(self._beat_s / 4)
             self._do(self.follower.ring(self.clocks.steady()))
             self._look()
+            self._travel()
 
     # The operators' listener.
 
@@ -546,13 +690,17 @@
                 "why": self.follower.why,
                 "stamp": stamp,
                 "fresh": self.may_act(now),
-                "book": self.book.number,
+                "book": self.book.at,
+                "way": self.traveller.state,
+                "leave": self.traveller.leave,
                 "acts": self.ledger.acts,
                 "turned_away": self.turned_away,
                 "ledger": self.scribe.failing,
                 "members": self.mingling.states() if self.mingling is not None else {},
             }
             exchange.json(200, told)
+        elif what == "hosts":
+            exchange.json(200, self._inventory())
         elif what == "book":
             exchange.json(200, self.book)
         elif what.startswith("settings/"):
@@ -563,6 +711,16 @@
             return False
         return True
 
+    def _inventory(self) -> Inventory:
+        rows = []
+        for host, row in sorted(self._rows.items()):
+            where = self._around.address(host)
+            told = f"{where[0]}:{where[1]}" if where is not None else ""
+            rows.append(
+                ListedHost(host, row.zone, row.cell, row.standing.value, row.weight, row.started, told)
+            )
+        return Inventory(self._list.name, tuple(rows))
+
     async def _give(self, exchange: Exchange, name: str) -> None:
         try:
             body = await self.scribe.ask(lambda files: files.named(name))
--- /dev/null
+++ b/burlmast/fleet/keeper_shell.py
@@ -0,0 +1,335 @@
+"""A desk's part in drains and releases: it takes the lead where nobody has it, looks at the fleet, and has
+each step taken by a change of the register. What follows from what is decided in `outs`, `leading` and the
+release room; here are sockets and timers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from burlmast.fleet import outs as outs_module
+from burlmast.fleet.desk_shell import Desk
+from burlmast.fleet.leading import Leading, holds, taken
+from burlmast.fleet.orders import Book, Refused, jot, put, standing
+from burlmast.fleet.outs import GATEWAY, HOST, SAID, Drain, Leave, Limits, View
+from burlmast.fleet.sight import Ground
+from burlmast.fleet.words import Asked, Inventory, Said
+from burlmast.http1.client import Whole
+from burlmast.http1.messages import split_address
+from burlmast.settings.read import BadSettings, parse
+from burlmast.settings.sheets import Deployment
+
+MS = 1_000_000
+PATIENCE = 5  # beats that a lead may be silent before another desk takes it
+Headers = list[tuple[bytes, bytes]]
+
+
+class More(Protocol):
+    """What is done beside drains, by the same lead: releases."""
+
+    def work(self, book: Book) -> bool:
+        """Whether there is any."""
+
+    def step(self, now: int, book: Book, view: View) -> Book:
+        """The book after what follows now."""
+
+    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+        """The change that an operator's word asks for, None where the path is another's. Raises Refused,
+        msgspec.MsgspecError."""
+
+    def told(self, book: Book) -> dict[str, Any]:
+        """For status."""
+
+
+class Keeper:
+    """Made on a running loop, after its desk."""
+
+    def __init__(
+        self,
+        desk: Desk,
+        streams: Callable[[Headers], float | None],
+        more: More | None = None,
+        tell_list: Callable[[dict[int, str]], Awaitable[None]] | None = None,
+    ) -> None:
+        """`streams` reads of a host's answer how many play there; `tell_list` has the list say how hosts are
+        to stand."""
+        self.desk, self.more, self._streams, self._tell_list = desk, more, streams, tell_list
+        self._beat = int(desk.beat_s * 1e9)
+        self.leading = Leading(desk.number, self._beat, PATIENCE * self._beat)
+        self.waits: dict[int, str] = {}
+        self._since: dict[tuple[int, int], int] = {}  # hosts' leaves: when this desk first led with them
+        self._parsed: dict[str, Deployment] = {}
+        self._told: dict[int, str] = {}
+
+    async def run(self) -> None:
+        """Until cancelled."""
+        while True:
+            await asyncio.sleep(self.desk.beat_s / 2)
+            await self.desk.quietly(self.look)
+
+    @property
+    def leads(self) -> bool:
+        """Whether this desk leads, as far as it knows."""
+        return self.leading.term > 0
+
+    def _work(self, book: Book) -> bool:
+        busy = any(one.state in ("going", "back") for one in book.outs.drains)
+        return bool(busy or book.outs.leaves or (self.more is not None and self.more.work(book)))
+
+    async def look(self) -> None:
+        """Take the lead if it is this desk's turn, and the next step if it leads. Raises NoMajority."""
+        desk, now = self.desk, self.desk.clocks.steady()
+        if not desk.kept.voting:
+            return
+        await self._see_lists()
+        what = self.leading.look(now, desk.learned.lead, self._work(desk.learned))
+        if what == "take":
+            seen = desk.learned.lead
+
+            def take(book: Book) -> Book:
+                lead = taken(book.lead, seen, desk.number)
+                return book if lead is None else jot(book, lead=lead)
+
+            book = await desk.change(take)
+            if book.lead.desk == desk.number and book.lead.term == seen.term + 1:
+                self.leading.took(desk.clocks.steady(), book.lead)
+                desk.log.info("leads", term=book.lead.term)
+        if not self.leads:
+            self.waits = {}
+            return
+        await self._see_hosts(desk.learned)
+        await self._step(what == "renew")
+        await self._say(desk.learned)
+
+    # What is seen.
+
+    async def _see_lists(self) -> None:
+        desk, sight = self.desk, self.desk.sight
+        for name, address in sight.lacks(desk.clocks.steady()).items():
+            told = await self._get(address, "/fleet/v1/hosts")
+            if told is not None:
+                found: Inventory = msgspec.json.decode(told, type=Inventory)
+                sight.listed(desk.clocks.steady(), found)
+                if found.name != name:
+                    desk.log.debug("the list has moved on", name=name)
+
+    async def _see_hosts(self, book: Book) -> None:
+        desk, sight = self.desk, self.desk.sight
+        hosts = {one.subject for one in book.outs.leaves if one.kind == HOST}
+        where = sight.addresses()
+        sight.plays = {host: n for host, n in sight.plays.items() if host in hosts}
+        asked = [host for host in sorted(hosts) if host in where]
+        for host, plays in zip(
+            asked, await asyncio.gather(*(self._plays(where[h]) for h in asked)), strict=True
+        ):
+            if plays is None:
+                sight.plays.pop(host, None)
+            else:
+                sight.plays[host] = plays
+        now = desk.clocks.steady()
+        held = {(one.number, one.subject) for one in book.outs.leaves if one.kind == HOST}
+        self._since = {key: self._since.get(key, now) for key in held}
+
+    async def _get(self, address: str, path: str) -> bytes | None:
+        try:
+            status, _, told = await Whole.of(
+                self.desk.pool, split_address(address), b"GET", path.encode(), within=self.desk.beat_s
+            )
+        except (ConnectionError, TimeoutError, OSError):
+            return None
+        return told if status == 200 else None
+
+    async def _plays(self, address: str) -> int | None:
+        try:
+            status, headers, _ = await Whole.of(
+                self.desk.pool, split_address(address), b"GET", b"/v1/load", within=self.desk.beat_s
+            )
+        except (ConnectionError, TimeoutError, OSError):
+            return None
+        found = self._streams(headers) if status == 200 else None
+        return None if found is None else int(found)
+
+    def view(self, book: Book) -> tuple[View, Limits]:
+        """What is so, by all that this desk knows now."""
+        desk, now = self.desk, self.desk.clocks.steady()
+        versions: list[Deployment] = []
+        blind = ""
+        for name, _ in standing(book.orders, (), book.base_lease_ms):
+            found = desk.deployment if not name else self._settings(name)
+            if found is None:
+                blind = f"settings {name[:12]} are not on this desk yet"
+            else:
+                versions.append(found)
+        terms = versions or [desk.deployment]
+        limits = limits_of(terms[0])
+        for one in terms[1:]:
+            limits = limits.strictest(limits_of(one))
+        overdue = frozenset(
+            one.subject for one in book.outs.leaves if one.kind == HOST and self._overdue(now, one)
+        )
+        gone = desk.mingling.states() if desk.mingling is not None else {}
+        view = desk.sight.view(now, desk.clocks.wall(), ground_of(terms[0]), book.outs, gone, overdue)
+        return (view._replace(blind=blind) if blind else view), limits
+
+    def _overdue(self, now: int, leave: Leave) -> bool:
+        since = self._since.get((leave.number, leave.subject))
+        return since is not None and now - since >= leave.plays_ms * MS
+
+    def _settings(self, name: str) -> Deployment | None:
+        if name not in self._parsed:
+            raw = self.desk.store.settings(name)
+            if raw is None:
+                return None
+            try:
+                self._parsed[name] = parse(raw.decode("utf-8"))
+            except (BadSettings, UnicodeDecodeError):
+                return None
+        return self._parsed[name]
+
+    # Steps.
+
+    async def _step(self, renew: bool) -> None:
+        desk, term = self.desk, self.leading.term
+
+        def step(book: Book) -> Book:
+            if not holds(book.lead, desk.number, term):
+                return book  # another leads: whatever this desk was about to do has no effect
+            after = self._advanced(book)
+            if after is book and not renew:
+                return book
+            beat = msgspec.structs.replace(book.lead, beat=book.lead.beat + 1)
+            return jot(book, lead=beat) if after is book else msgspec.structs.replace(after, lead=beat)
+
+        if step(desk.learned) is desk.learned:
+            return
+        book = await desk.change(step)
+        if holds(book.lead, desk.number, term):
+            self.leading.said(desk.clocks.steady())
+
+    def _advanced(self, book: Book) -> Book:
+        view, limits = self.view(book)
+        outs, self.waits = outs_module.advance(book.outs, book.at + 1, view, limits)
+        after = book if outs == book.outs else put(book, outs=outs)
+        return after if self.more is None else self.more.step(self.desk.clocks.steady(), after, view)
+
+    async def _say(self, book: Book) -> None:
+        """Have the list say how hosts under leave stand."""
+        if self._tell_list is None:
+            return
+        wanted = outs_module.hosts_out(book.outs.leaves)
+        rows = {host: how for host, how in wanted.items() if self._told.get(host) != how}
+        rows |= {host: "ready" for host in self._told if host not in wanted}
+        if rows:
+            await self._tell_list(rows)
+            self._told = dict(wanted)
+
+    # Operators.
+
+    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+        """The change that an operator's word asks for; None where the path is not for this. Raises Refused,
+        msgspec.MsgspecError."""
+        if path == "/fleet/v1/drain":
+            asked: Asked = msgspec.json.decode(body, type=Asked)
+            return lambda book: self._asked(book, asked)
+        if path == "/fleet/v1/said":
+            said: Said = msgspec.json.decode(body, type=Said)
+            return lambda book: said_of_drain(book, said)
+        return self.more.take(path, body) if self.more is not None else None
+
+    def _asked(self, book: Book, asked: Asked) -> Book:
+        if any(one.request == asked.request for one in book.outs.drains):
+            return book
+        subjects = self._subjects(book, asked)
+        terms = self.desk.deployment.edge.fleet
+        plays = terms.out.plays_ms if asked.plays_ms is None else asked.plays_ms
+        words = (book.at + 1, asked.request, asked.kind, subjects, plays, asked.late, asked.then)
+        drain = Drain(*words, command=asked.command)
+        return put(book, outs=outs_module.ask(book.outs, drain))
+
+    def _zone(self, name: str) -> int | None:
+        zones = self.desk.deployment.zones
+        if name in zones:
+            return zones.index(name)
+        if name.isdecimal() and int(name) < len(zones):
+            return int(name)
+        if name:
+            raise Refused(f"there is no zone {name!r}; there are {', '.join(zones)}")
+        return None
+
+    def _subjects(self, book: Book, asked: Asked) -> tuple[int, ...]:
+        view, _ = self.view(book)
+        zone = self._zone(asked.zone_name)
+        if asked.kind == GATEWAY:
+            strangers = [one for one in asked.subjects if not 0 <= one < book.gateways]
+            if strangers:
+                raise Refused(f"gateway {strangers[0]} is not of this fleet of {book.gateways}")
+            found = {n for n, one in view.gateways.items() if one.zone == zone} | set(asked.subjects)
+        elif asked.kind == HOST:
+            strangers = [one for one in asked.subjects if one not in view.hosts]
+            if strangers and view.blind:
+                raise Refused(f"{view.blind}; ask again shortly")
+            if strangers:
+                raise Refused(f"host {strangers[0]} is on no gateway's list")
+            found = set(asked.subjects) | {
+                n
+                for n, one in view.hosts.items()
+                if (asked.rack is not None and one.rack == asked.rack) or one.zone == zone
+            }
+        else:
+            raise Refused(f"there is no kind {asked.kind!r} to drain")
+        if not found:
+            raise Refused("nobody is there to be drained by these words")
+        return tuple(sorted(found))
+
+
+def said_of_drain(book: Book, said: Said) -> Book:
+    """The book after an operator's word on a drain. Raises Refused."""
+    if said.kind:
+        if book.outs.of(said.kind, said.subject) is None:
+            raise Refused(f"{said.kind} {said.subject} holds no leave")
+        return put(book, outs=outs_module.vouched(book.outs, said.kind, said.subject))
+    drain = book.outs.drain(said.number)
+    if drain is None:
+        raise Refused(f"there is no drain {said.number}")
+    state = SAID.get((drain.state, said.word))
+    if state is None:
+        raise Refused(f"drain {said.number} is {drain.state}, and cannot be told: {said.word}")
+    if state == drain.state:
+        return book
+    outs = outs_module.change(book.outs, drain.number, state=state, why=said.why)
+    if state == "back":
+        outs = outs_module.called_back(outs, drain.number, book.at + 1)
+    return put(book, outs=outs)
+
+
+def limits_of(found: Deployment) -> Limits:
+    """How many may be out, as settings say."""
+    terms = found.edge.fleet.out
+    return Limits(
+        terms.gateways,
+        terms.gateways_zone,
+        terms.hosts,
+        terms.hosts_zone,
+        terms.hosts_rack,
+        terms.holders,
+        terms.spare,
+    )
+
+
+def ground_of(found: Deployment) -> Ground:
+    """The deployment, as settings say."""
+    fleet = found.fleet
+    return Ground(
+        found.gateways,
+        len(found.zones),
+        fleet.cells,
+        fleet.racks,
+        fleet.link_kb,
+        fleet.weights_tell_size,
+        fleet.uplink_kb,
+        tuple((one.name, one.home, one.copies) for one in found.titles),
+        int(found.rules.warm_after_ms * MS),
+    )
--- a/burlmast/fleet/members_shell.py
+++ b/burlmast/fleet/members_shell.py
@@ -72,12 +72,12 @@
             return
         exchange.respond(204)
         self._carry(self.members.take(self._steady(), carried.words))
-        if carried.book > self._around.book.number and not self._reading:
+        if carried.book > self._around.book.at and not self._reading:
             self._spawn(self._read(back))
 
     def _carry(self, sends: list[Send]) -> None:
         for send in sends:
-            words = Carried(send.words, self._around.book.number, self.members.address)
+            words = Carried(send.words, self._around.book.at, self.members.address)
             self._spawn(self._post(split_address(send.address), msgspec.json.encode(words)))
 
     async def _post(self, address: Address, body: bytes) -> None:
--- a/burlmast/fleet/orders.py
+++ b/burlmast/fleet/orders.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Any
 
 import msgspec
 
+from burlmast.fleet.leading import Lead
 from burlmast.fleet.lease import Called
+from burlmast.fleet.outs import Outs
 
 MS = 1_000_000
 LONGEST = 64  # orders kept beside those that are followed; older ones are in the ledgers
@@ -32,6 +35,7 @@
     epoch: int = 0  # the last order, up to this one, whose versions must not mix with those before
     leased: bool = False  # of one that must not mix: all that may be in force before it needs a lease
     longest_ms: float = 0.0  # and the longest of those
+    watched: bool = False  # taken only with the consent of a majority of desks: a release may be halted
 
 
 class Book(msgspec.Struct, frozen=True):
@@ -43,6 +47,23 @@
     orders: tuple[Order, ...] = ()
     leased: bool | None = None  # all that may be in force in the last epoch needs a lease; None: by the base
     longest_ms: float | None = None  # and the longest of those
+    revision: int = 0  # of all that gateways have to know; see `at`
+    turn: int = 0  # of all that stands here; see `moved`
+    outs: Outs = Outs()
+    held: tuple[int, ...] = ()  # watched orders that are not taken for now
+    releases: tuple[dict[str, Any], ...] = ()  # as the release room writes them
+    evidence: dict[str, Any] = {}  # of the release that is watched; gateways need not hear of it
+    lead: Lead = Lead()
+
+    @property
+    def at(self) -> int:
+        """The revision; books from before there were any count their orders."""
+        return max(self.revision, self.number)
+
+    @property
+    def moved(self) -> int:
+        """Grows with each change, the lead's beats as well."""
+        return max(self.turn, self.at)
 
     @property
     def number(self) -> int:
@@ -69,6 +90,16 @@
         raise Refused(f"not a book of orders: {why}") from None
 
 
+def put(book: Book, **changes: Any) -> Book:
+    """The book with a change that gateways have to know."""
+    return msgspec.structs.replace(book, revision=book.at + 1, turn=book.moved + 1, **changes)
+
+
+def jot(book: Book, **changes: Any) -> Book:
+    """The book with a change that is for desks alone."""
+    return msgspec.structs.replace(book, turn=book.moved + 1, **changes)
+
+
 def write_book(book: Book) -> bytes:
     """The register's value."""
     return msgspec.json.encode(book)
@@ -97,7 +128,8 @@
         leased, longest = leased and wanted.lease_ms > 0, max(longest, wanted.lease_ms)
     order = msgspec.structs.replace(wanted, number=number, **epoch)
     kept = _needed((*book.orders, order), book.gateways)
-    return msgspec.structs.replace(book, orders=kept, leased=leased, longest_ms=longest)
+    held = tuple(one for one in book.held if any(one == order.number for order in kept))
+    return put(book, orders=kept, leased=leased, longest_ms=longest, held=held)
 
 
 def _needed(orders: tuple[Order, ...], gateways: int) -> tuple[Order, ...]:
@@ -167,7 +199,13 @@
 
 def newer(mine: Book, other: Book) -> bool:
     """Whether another's copy of the book is the later one of the same fleet."""
-    return other.fleet == mine.fleet and other.number > mine.number
+    return other.fleet == mine.fleet and other.at > mine.at
+
+
+def lets(book: Book, gateway: int, number: int) -> bool:
+    """A desk's side: whether a gateway may take a watched order, by the value that it accepted itself."""
+    order = wanted(book, gateway)
+    return order is not None and order.number == number and number not in book.held
 
 
 def called(book: Book) -> Called:
--- a/burlmast/fleet/plants.py
+++ b/burlmast/fleet/plants.py
@@ -10,7 +10,13 @@
 
 
 class Deaf:
-    """Takes no settings, whatever is said."""
+    """A program that takes no settings, whatever is said."""
+
+    def __init__(self, around: Any) -> None:
+        self._around = around
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._around, name)
 
     def change_settings(self, deployment: Deployment) -> None:
         """Nothing changes."""
@@ -18,7 +24,8 @@
 
 def says_what_it_does_not_do(side: FleetSide) -> None:
     """Acts on the old version and says the new."""
-    side._around = Deaf()
+    changed: Any = side
+    changed._around = Deaf(side._around)
 
 
 def uses_its_life_again(side: FleetSide) -> None:
--- a/burlmast/fleet/status.py
+++ b/burlmast/fleet/status.py
@@ -45,7 +45,7 @@
 def summary(found: Sequence[Status | str], wall: int) -> Summary:
     """The latest word of each life, from whichever desk has it; `wall` nanoseconds of the asker's clock."""
     heard = [one for one in found if isinstance(one, Status)]
-    book = max((one.book for one in heard), key=lambda one: one.number, default=Book())
+    book = max((one.book for one in heard), key=lambda one: one.moved, default=Book())
     latest: dict[tuple[int, str], Member] = {}
     for one in heard:
         for member in one.members:
--- a/burlmast/fleet/words.py
+++ b/burlmast/fleet/words.py
@@ -18,6 +18,23 @@
 ROWS_AT_ONCE = 500
 
 
+class Away(msgspec.Struct, frozen=True):
+    """How a gateway stands to leaves, and what it sees that others need to grant them."""
+
+    disk: str = ""  # the name of its disk; empty where that keeps nothing
+    state: str = "in"  # see `going`
+    why: str = ""
+    leave: int = 0
+    finished: int = 0
+    was_out: int = 0
+    zone: int = 0
+    ready: bool = False  # it has a list
+    warm: bool = False  # it has run for as long as hosts count as cold
+    asked: float = 0.0  # kB/s of all that plays by it
+    fallen: tuple[int, ...] = ()  # hosts that failed it and have not served since
+    counts: dict[str, int] = {}  # what became of requests in this life
+
+
 class Hello(msgspec.Struct, frozen=True):
     """A gateway's word to a desk, each beat."""
 
@@ -26,13 +43,16 @@
     stamp: Stamp
     state: str  # of the follower
     why: str
-    book: int  # the last order that it knows
+    book: int  # the revision of the book that it knows
     acts: int
     fresh: bool  # it takes new requests
     left: float  # seconds until its lease is over; 0 where it needs none or has none
     fleet: str = ""
     has: dict[str, int] = {}  # its disk's lives: how many rows
     rows: tuple[Row, ...] = ()
+    away: Away = Away()
+    wants: tuple[int, int] = (0, 0)  # a watched order to take and a leave to go on, which ask for consent
+    echo: tuple[str, int] = ("", 0)  # the desk's last token: this word is from after it
 
 
 class Welcome(msgspec.Struct, frozen=True):
@@ -42,6 +62,51 @@
     book: Book | None = None  # where the desk knows a later one
     have: dict[str, int] = {}  # of the lives that the gateway named, how many rows are on the desk's disk
     peers: tuple[tuple[int, str, str], ...] = ()  # gateways lately heard: number, life, address
+    lets: tuple[bool, bool] = (False, False)  # to what `wants` names
+    token: tuple[str, int] = ("", 0)  # the desk's life and its clock
+
+
+class ListedHost(msgspec.Struct, frozen=True, array_like=True):
+    """A row of the list, as a gateway heard it; `started` nanoseconds of the wall clock, 0 not known."""
+
+    host: int
+    zone: int
+    cell: int
+    standing: str
+    weight: float
+    started: int
+    address: str
+
+
+class Inventory(msgspec.Struct, frozen=True):
+    """A gateway's list and its name."""
+
+    name: str
+    hosts: tuple[ListedHost, ...]
+
+
+class Asked(msgspec.Struct, frozen=True):
+    """An operator asks that some go out; hosts may be named by rack or zone, gateways by zone."""
+
+    request: str
+    kind: str
+    subjects: tuple[int, ...] = ()
+    rack: int | None = None
+    zone_name: str = ""
+    plays_ms: float | None = None
+    late: str = "halt"
+    then: str = "stay"
+    command: tuple[str, ...] = ()
+
+
+class Said(msgspec.Struct, frozen=True):
+    """What an operator says of a drain or a release: halt, resume, back; or vouches for one."""
+
+    number: int = 0
+    word: str = ""
+    kind: str = ""
+    subject: int = 0
+    why: str = ""
 
 
 class Prepare(msgspec.Struct, frozen=True):
@@ -120,6 +185,8 @@
     contradictions: int
     waits: str = ""
     holds: dict[str, str] = {}  # what each other member is held to be: alive, suspect, gone
+    waits_for: dict[int, str] = {}  # by drain, for what and for whom it waits
+    leads: bool = False
 
 
 class Placed(msgspec.Struct, frozen=True):
--- a/burlmast/settings/live.py
+++ b/burlmast/settings/live.py
@@ -29,6 +29,7 @@
     "edge.fleet.probe_ms": "others are probed by it",
     "edge.fleet.probes": "others are probed by it",
     "edge.fleet.drift": "leases are reckoned by it",
+    "edge.fleet.out.alone_ms": "what is out comes back by it",
     "edge.fleet.ledger_ms": "the ledger is written by it",
     "stand_ins": "",  # of no meaning to a gateway
 }
--- a/burlmast/settings/read.py
+++ b/burlmast/settings/read.py
@@ -144,6 +144,8 @@
         yield "edge.fleet.again_longest_ms", "must not be under again_ms"
     if 0 < together.lease_ms < 3 * together.beat_ms:
         yield "edge.fleet.lease_ms", "must be 0 or three beats at least, or one lost word would shut out"
+    if together.out.silent_beats < 2:
+        yield "edge.fleet.out.silent_beats", "must be 2 at least, or one lost word would count as out"
     if one.edge.redial_longest_ms < one.edge.redial_ms:
         yield "edge.redial_longest_ms", "must not be under redial_ms"
     low, high = one.stand_ins.lasts_s
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -109,6 +109,21 @@
     at_once: int = 8  # recordings asked for at a time
 
 
+class OutTerms(Sheet, frozen=True):
+    """How many may be out at once, by leave or without; null: no limit of its own."""
+
+    gateways: int = 1  # of the fleet
+    gateways_zone: int | None = None  # of each zone
+    hosts: int = 1
+    hosts_zone: int | None = None
+    hosts_rack: int | None = None
+    holders: int = 1  # of each title, so many of its hosts stay in
+    spare: float = 0.1  # the links that stay carry what is asked of them, and this part more
+    plays_ms: float = 60_000.0  # how long what plays may go on where a drain does not say
+    alone_ms: float = 30_000.0  # without word from a majority of desks, what is out comes back
+    silent_beats: float = 4.0  # a gateway not heard for so long counts as out
+
+
 class FleetTerms(Sheet, frozen=True):
     """How this gateway goes with the others; of no meaning without desks."""
 
@@ -123,6 +138,7 @@
     probe_ms: float = 1000.0  # between two probes of other gateways
     probes: int = 4  # in a row, answered to nobody, make a gateway gone
     within_ms: float = 10_000.0  # how long an order waits for stragglers where it does not say
+    out: OutTerms = OutTerms()
 
 
 class Edge(Sheet, frozen=True):
