--- a/burlmast/fleet/going.py
+++ b/burlmast/fleet/going.py
@@ -133,6 +133,8 @@
             self.kept = msgspec.structs.replace(self.kept, was_out=max(number, self.kept.was_out))
         elif self.state == "finishing" and before != "finishing":
             self.kept = msgspec.structs.replace(self.kept, finished=max(number, self.kept.finished))
+            # Danger: its consent may still be fresh once it is in again.
+            self.leave = None
         return effect
 
     def look(self, now: int, consent: bool, busy: bool, warm: bool, heard: int) -> str:
--- a/tests/test_drains_processes.py
+++ b/tests/test_drains_processes.py
@@ -28,7 +28,7 @@
             assert code == 0, told
 
             async def first_out() -> bool:
-                code, told = await here.operate("drain", "status")
+                _, told = await here.operate("drain", "status")
                 return "1 of 2 gateways have been out; waits: gateway 2: 1 gateways of the fleet" in told
 
             await here.until(first_out)
