Releases: settings or builds out in waves, watched beside the old, halted, brought back

Need: a new version went to all at once. A plan (Jsonnet) says what, whom, canary, waves, watches and what halts it; its steps are a table, each a change of the fleet's book with its reason, so that any desk goes on and none happens twice. A halt holds orders and leaves by the register itself. 'burlmast release' starts, shows, halts, resumes, goes back and reports.

--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -17,6 +17,7 @@
 
 import burlmast.commands.drain  # noqa: F401  its commands join `fleet`
 from burlmast.commands.fleet import desk, fleet
+from burlmast.commands.release import plan_of, release
 from burlmast.commands.shared import PLACE, say, settings, until_interrupted
 from burlmast.settings.read import BadSettings, evaluate
 from burlmast.settings.sheets import Deployment
@@ -55,8 +56,15 @@
 @main.command()
 @click.argument("file", type=click.Path())
 def check(file: str) -> None:
-    """Print the settings in FILE as they are read; 2 where something is wrong."""
-    found = msgspec.json.format(msgspec.json.encode(settings(file)), indent=2)
+    """Print the settings, or the plan of a release, in FILE as they are read; 2 where something is wrong."""
+    from burlmast.release.read import is_plan
+
+    try:
+        read = plan_of(file) if is_plan(file) else settings(file)
+    except BadSettings as why:
+        click.echo(str(why), err=True)
+        raise SystemExit(2) from None
+    found = msgspec.json.format(msgspec.json.encode(read), indent=2)
     click.echo(found.decode("utf-8"))
 
 
@@ -82,7 +90,7 @@
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
 @click.option("--wall-speed", type=float, default=1.0, hidden=True)
-@click.option("--fleet-plant", type=click.IntRange(1, 4), default=None, hidden=True)
+@click.option("--fleet-plant", type=click.IntRange(1, 10), default=None, hidden=True)
 def edge(
     file: str,
     number: int,
@@ -575,3 +583,4 @@
 
 main.add_command(desk)
 main.add_command(fleet)
+main.add_command(release)
--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -81,6 +81,7 @@
     """A desk's part in drains and releases."""
     from burlmast.edge.loads import read_load
     from burlmast.fleet.keeper_shell import Keeper
+    from burlmast.release.shell import Releases
 
     async def tell(rows: dict[int, str]) -> None:
         assert list_address is not None
@@ -92,7 +93,7 @@
             raise ConnectionError(f"the list answers {status}: {told[:100]!r}")
 
     streams = lambda headers: read_load(headers).streams  # noqa: E731
-    return Keeper(desk, streams, None, tell if list_address is not None else None)
+    return Keeper(desk, streams, Releases(desk), tell if list_address is not None else None)
 
 
 @click.group()
--- a/burlmast/edge/changing.py
+++ b/burlmast/edge/changing.py
@@ -45,6 +45,12 @@
         super().__init__(policy, *words)
         self._mind.policy = self.policy
 
+    def noted(self, now: int, one: Try, news: api.News, value: float) -> None:
+        """As a `Driver`, and counts deliveries that fell short of their rate."""
+        if news is api.News.SHARE and value < 1.0 and one.state == "flowing":
+            self.counts["short"] += 1
+        super().noted(now, one, news, value)
+
     def change_policy(
         self, now: int, policy: Callable[[int], Policy], tries: int, started: Callable[[api.HostRow], int]
     ) -> None:
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -257,7 +257,10 @@
         hosts = policy.hosts.values() if isinstance(policy, Gateway) else ()
         fallen = tuple(sorted(one.id for one in hosts if one.fell))
         busy = driver.asked + driver.playing
-        return Work(busy, self.ready, self._zone, asked, fallen, dict(driver.counts))
+        counts, away = dict(driver.counts), sum(self.doorkeeper.turned_away.values())
+        for what in ("asked", "rejected"):
+            counts[what] = counts.get(what, 0) + away
+        return Work(busy, self.ready, self._zone, asked, fallen, counts)
 
     def cut(self) -> None:
         """End what plays: its viewers ask another gateway."""
@@ -304,7 +307,11 @@
             self.list.want()
 
     def answer(self, playback: Playback, final: Final) -> None:
-        self.operators.answer_time.observe((self.now() - playback.abandon + playback.wanted.patience) / 1e9)
+        took = self.now() - playback.abandon + playback.wanted.patience
+        self.operators.answer_time.observe(took / 1e9)
+        target = self.deployment.plans[playback.wanted.plan].startup_target_ms
+        if final.kind == "plays" and took > nanoseconds(target):
+            self.driver.counts["slow"] += 1
         if final.kind in ("rejected", "aborted"):
             self.together.act(final.kind)
         self.door.answer(playback, final)
--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -64,8 +64,12 @@
     async def run(self) -> None:
         """Until cancelled."""
 
-    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
-        """The change that an operator's word asks for, None where the path is not for this."""
+    async def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+        """The change that an operator's word asks for, None where the path is not for this. Raises Refused,
+        NoMajority, msgspec.MsgspecError."""
+
+    def shows(self, path: str) -> object | None:
+        """What is to be seen under a path, None where nothing is."""
 
 
 class Desk:
@@ -116,19 +120,20 @@
             self.number,
             lambda text: self.log.info("member", what=text),
         )
-        words = self.pool, self.beat_s, self.clocks.steady, self._spawn
+        words = self.pool, self.beat_s, self.clocks.steady, self.spawn
         self.mingling = Mingling(members, self, *words)
         for desk, address in enumerate(self.desks):
             if address is not None:
                 self.mingling.met(f"desk.{desk}", address)
-        self._spawn(self.mingling.run())
-        self._spawn(self._look_after())
+        self.spawn(self.mingling.run())
+        self.spawn(self._look_after())
         if self.keeper is not None:
-            self._spawn(self.keeper.run())
+            self.spawn(self.keeper.run())
         self.log.info("started", port=found, voting=self.kept.voting)
         return found
 
-    def _spawn(self, work: Any) -> None:
+    def spawn(self, work: Any) -> None:
+        """See that it is done; it ends with the desk."""
         task = self.loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -177,7 +182,11 @@
         elif path == "/fleet/v1/contradictions":
             exchange.json(200, self.store.contradictions())
         else:
-            exchange.refuse(404, "there is nothing here")
+            shown = self.keeper.shows(path) if self.keeper is not None else None
+            if shown is None:
+                exchange.refuse(404, "there is nothing here")
+            else:
+                exchange.json(200, shown)
 
     def _guarded(self, exchange: Exchange, take: Callable[[Exchange, bytes], None], body: bytes) -> None:
         try:
@@ -308,17 +317,19 @@
     def _order(self, exchange: Exchange, body: bytes) -> None:
         wanted: Wanted = msgspec.json.decode(body, type=Wanted)
         mine = lambda book: next((one for one in book.orders if one.request == wanted.request), None)  # noqa: E731
-        self._spawn(self._answer(exchange, self.order(wanted), mine))
+        self.spawn(self._answer(exchange, self.order(wanted), mine))
 
     def _say(self, path: str) -> Callable[[Exchange, bytes], None]:
         """An operator's word on drains and releases."""
 
-        def take(exchange: Exchange, body: bytes) -> None:
-            change = self.keeper.take(path, body) if self.keeper is not None else None
+        async def changed(body: bytes) -> Book:
+            change = await self.keeper.take(path, body) if self.keeper is not None else None
             if change is None:
-                exchange.refuse(404, "there is nothing here for that method")
-            else:
-                self._spawn(self._answer(exchange, self.change(change), lambda book: book))
+                raise Refused(f"there is nothing at {path}")
+            return await self.change(change)
+
+        def take(exchange: Exchange, body: bytes) -> None:
+            self.spawn(self._answer(exchange, changed(body), lambda book: book))
 
         return take
 
@@ -327,6 +338,8 @@
     ) -> None:
         try:
             book = await work
+        except (msgspec.MsgspecError, RecursionError) as why:
+            exchange.refuse(400, f"not understood: {why}")
         except Refused as why:
             exchange.refuse(409, str(why))
         except NoMajority as why:
@@ -395,16 +408,7 @@
             return await self.change(
                 lambda book: orders.withdraw(book, wanted.undo, wanted.request, self.clocks.wall())
             )
-        name = self._keep_settings(wanted.settings.encode("utf-8"))
-        found = parse(wanted.settings)
-        if found.gateways != self.deployment.gateways:
-            raise Refused(
-                f"they are for {found.gateways} gateways, and this fleet has {self.deployment.gateways}"
-            )
-        plain = self.store.settings(name) or b""
-        kept = await self._everywhere("/fleet/v1/settings", plain)
-        if 1 + sum(1 for one in kept if one is not None) < len(self.desks) // 2 + 1:
-            raise NoMajority("a majority of desks does not keep the settings; nothing is ordered")
+        name, found = await self.settings_kept(wanted.settings)
         order = orders.Order(
             0,
             wanted.request,
@@ -418,6 +422,21 @@
         )
         return await self.change(lambda book: orders.give(book, order, wanted.after))
 
+    async def settings_kept(self, text: str) -> tuple[str, Deployment]:
+        """Settings that a majority of desks keeps from now on: their name, and as read. Raises Refused,
+        NoMajority."""
+        name = self._keep_settings(text.encode("utf-8"))
+        found = parse(text)
+        if found.gateways != self.deployment.gateways:
+            raise Refused(
+                f"they are for {found.gateways} gateways, and this fleet has {self.deployment.gateways}"
+            )
+        plain = self.store.settings(name) or b""
+        kept = await self._everywhere("/fleet/v1/settings", plain)
+        if 1 + sum(1 for one in kept if one is not None) < len(self.desks) // 2 + 1:
+            raise NoMajority("a majority of desks does not keep the settings; nothing is ordered")
+        return name, found
+
     async def change(self, change: Callable[[Book], Book]) -> Book:
         """Change the register's value; the book then, the same where `change` gives back what it was given.
         Raises Refused, NoMajority."""
@@ -446,7 +465,7 @@
             raise refused[0]
         self._learned(found[0])
         if one.state == "done":
-            self._spawn(self._tell(one.value))
+            self.spawn(self._tell(one.value))
         return found[0]
 
     async def _tell(self, value: bytes) -> None:
@@ -538,7 +557,8 @@
                 await self.quietly(work)
             await asyncio.sleep(self.beat_s * (0.75 + self._pause(0) / self.beat_s))
 
-    async def quietly(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def quietly(self, work: Callable[[], Awaitable[object]]) -> None:
+        """Do it; what goes wrong is logged, and tried again by who asked."""
         try:
             await work()
         except (ConnectionError, TimeoutError, NoMajority, Refused):
--- a/burlmast/fleet/desk_store.py
+++ b/burlmast/fleet/desk_store.py
@@ -18,6 +18,8 @@
 CREATE TABLE IF NOT EXISTS settings (digest TEXT PRIMARY KEY, body BLOB NOT NULL);
 CREATE TABLE IF NOT EXISTS row (seq INTEGER PRIMARY KEY AUTOINCREMENT, life TEXT NOT NULL, n INTEGER NOT NULL,
     body BLOB NOT NULL, UNIQUE (life, n));
+CREATE TABLE IF NOT EXISTS look (seq INTEGER PRIMARY KEY AUTOINCREMENT, release INTEGER NOT NULL,
+    body BLOB NOT NULL);
 CREATE TABLE IF NOT EXISTS contradiction (life TEXT, n INTEGER, body BLOB, PRIMARY KEY (life, n, body));
 """
 
@@ -125,6 +127,15 @@
         """How many there are."""
         return int(self._base.execute("SELECT COUNT(*) FROM contradiction").fetchone()[0])
 
+    def keep_look(self, release: int, body: bytes) -> None:
+        """What a leader saw of a release; on return it is on the disk."""
+        self._base.execute("INSERT INTO look VALUES (NULL, ?, ?)", (release, body))
+
+    def looks(self, release: int) -> list[bytes]:
+        """All that this desk saw of one, oldest first."""
+        found = self._base.execute("SELECT body FROM look WHERE release = ? ORDER BY seq", (release,))
+        return [bytes(body) for (body,) in found.fetchall()]
+
     def close(self) -> None:
         """Let go of the file."""
         self._base.close()
--- a/burlmast/fleet/gateway_shell.py
+++ b/burlmast/fleet/gateway_shell.py
@@ -624,10 +624,12 @@
         settings = digest(found)
 
         def taken() -> None:
+            same = settings == self._digest
             self.settings, self._settings_name, self._digest = found, name, settings
             self._epoch_in_force = epoch
             self.lease.needs(self.clocks.steady(), self._length(found))
-            self._around.change_settings(found)
+            if not same:  # an order back may find one that had not gone
+                self._around.change_settings(found)
             self.log.info("order in force", order=number, settings=settings[:12])
             self._do(self.follower.take(self.clocks.steady(), "taken"))
             self._keep_standing()
@@ -678,6 +680,9 @@
         if path == "/fleet/v1/word" and exchange.method == b"POST" and mingling is not None:
             exchange.collect(WORD, lambda body: mingling.take(exchange, body))
             return True
+        if path == "/fleet/v1/readable" and exchange.method == b"POST":
+            exchange.collect(1 << 20, lambda body: exchange.json(200, {"why": self._unusable(body)}))
+            return True
         if exchange.method != b"GET" or not path.startswith("/fleet/v1/"):
             return False
         what = path.removeprefix("/fleet/v1/")
@@ -711,6 +716,14 @@
             return False
         return True
 
+    def _unusable(self, body: bytes) -> str:
+        """Why this gateway, as it runs, cannot take settings; empty where it can."""
+        try:
+            found = parse(body.decode("utf-8"))
+        except (BadSettings, UnicodeDecodeError) as why:
+            return f"this build cannot read them: {why}"
+        return needs_restart(self.settings, found)
+
     def _inventory(self) -> Inventory:
         rows = []
         for host, row in sorted(self._rows.items()):
--- a/burlmast/fleet/keeper_shell.py
+++ b/burlmast/fleet/keeper_shell.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
@@ -33,15 +33,21 @@
     def work(self, book: Book) -> bool:
         """Whether there is any."""
 
-    def step(self, now: int, book: Book, view: View) -> Book:
-        """The book after what follows now."""
+    def see(self, now: int, book: Book, view: View, limits: Limits) -> None:
+        """Look at what has happened since the last look, before steps are taken."""
 
-    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+    def step(self, now: int, book: Book, view: View, limits: Limits) -> Book:
+        """The book after what follows now; asked more than once for one look."""
+
+    def stepped(self, book: Book) -> None:
+        """The book is so now."""
+
+    async def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
         """The change that an operator's word asks for, None where the path is another's. Raises Refused,
-        msgspec.MsgspecError."""
+        NoMajority, msgspec.MsgspecError."""
 
-    def told(self, book: Book) -> dict[str, Any]:
-        """For status."""
+    def shows(self, path: str) -> object | None:
+        """What is to be seen under a path, None where nothing is."""
 
 
 class Keeper:
@@ -60,7 +66,9 @@
         self._beat = int(desk.beat_s * 1e9)
         self.leading = Leading(desk.number, self._beat, PATIENCE * self._beat)
         self.waits: dict[int, str] = {}
-        self._since: dict[tuple[int, int], int] = {}  # hosts' leaves: when this desk first led with them
+        self._since: dict[
+            tuple[int, str, int, str], int
+        ] = {}  # leaves: when this desk first led with them so
         self._parsed: dict[str, Deployment] = {}
 
     async def run(self) -> None:
@@ -101,6 +109,7 @@
             return
         await self._see_hosts(desk.learned)
         await self._step(what == "renew")
+        await self._restart(desk.learned)
         await self._say(desk.learned)
 
     # What is seen.
@@ -129,7 +138,7 @@
             else:
                 sight.plays[host] = plays
         now = desk.clocks.steady()
-        held = {(one.number, one.subject) for one in book.outs.leaves if one.kind == HOST}
+        held = {(one.number, one.kind, one.subject, ran) for one in book.outs.leaves for ran in {"", one.ran}}
         self._since = {key: self._since.get(key, now) for key in held}
 
     async def _get(self, address: str, path: str) -> bytes | None:
@@ -166,16 +175,23 @@
         limits = limits_of(terms[0])
         for one in terms[1:]:
             limits = limits.strictest(limits_of(one))
-        overdue = frozenset(
-            one.subject for one in book.outs.leaves if one.kind == HOST and self._overdue(now, one)
+        hosts = [one for one in book.outs.leaves if one.kind == HOST]
+        overdue = frozenset(one.subject for one in hosts if self._since_was(now, one, "", one.plays_ms))
+        restart = terms[0].edge.fleet.out.restart_ms
+        stalled = frozenset(
+            (one.kind, one.subject)
+            for one in book.outs.leaves
+            if one.ran and self._since_was(now, one, one.ran, restart)
         )
         gone = desk.mingling.states() if desk.mingling is not None else {}
         view = desk.sight.view(now, desk.clocks.wall(), ground_of(terms[0]), book.outs, gone, overdue)
+        view = view._replace(stalled=stalled)
         return (view._replace(blind=blind) if blind else view), limits
 
-    def _overdue(self, now: int, leave: Leave) -> bool:
-        since = self._since.get((leave.number, leave.subject))
-        return since is not None and now - since >= leave.plays_ms * MS
+    def _since_was(self, now: int, leave: Leave, what: str, longer_ms: float) -> bool:
+        """Whether this desk has led with a leave in this standing for longer."""
+        since = self._since.get((leave.number, leave.kind, leave.subject, what))
+        return since is not None and now - since >= longer_ms * MS
 
     def _settings(self, name: str) -> Deployment | None:
         if name not in self._parsed:
@@ -190,6 +206,46 @@
 
     # Steps.
 
+    async def _restart(self, book: Book) -> None:
+        """Begin the restarts that are due: each is in the register before it is begun, and never begun twice
+        by itself."""
+        desk, by = self.desk, f"{self.desk.number}, term {self.leading.term}"
+        for leave, drain in outs_module.to_restart(book.outs):
+            after = msgspec.structs.replace(leave, ran=by)
+
+            def begin(book: Book, leave: Leave = leave) -> Book:
+                due = [one for one, _ in outs_module.to_restart(book.outs)]
+                if not holds(book.lead, desk.number, self.leading.term) or leave not in due:
+                    return book
+                return put(book, outs=outs_module.begun(book.outs, leave, by))
+
+            if after in (await desk.change(begin)).outs.leaves:
+                desk.spawn(self._command(leave, drain))
+
+    async def _command(self, leave: Leave, drain: Drain) -> None:
+        words = [one.replace(f"{{{leave.kind}}}", str(leave.subject)) for one in drain.command]
+        desk = self.desk
+        desk.log.info("restarts", kind=leave.kind, subject=leave.subject, command=words)
+        try:
+            process = await asyncio.create_subprocess_exec(
+                *words, stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL
+            )
+            code = await process.wait()
+            why = f"its command ended with {code}" if code else ""
+        except OSError as trouble:
+            why = f"its command could not be begun: {trouble}"
+        if not why:
+            return
+        why = f"the restart of {leave.kind} {leave.subject} failed: {why}"
+
+        def halt(book: Book) -> Book:
+            one = book.outs.drain(drain.number)
+            if one is None or one.state != "going":
+                return book
+            return put(book, outs=outs_module.change(book.outs, drain.number, state="halted", why=why))
+
+        await desk.quietly(lambda: desk.change(halt))
+
     async def _step(self, renew: bool) -> None:
         desk, term = self.desk, self.leading.term
 
@@ -202,9 +258,13 @@
             beat = msgspec.structs.replace(book.lead, beat=book.lead.beat + 1)
             return jot(book, lead=beat) if after is book else msgspec.structs.replace(after, lead=beat)
 
+        if self.more is not None:
+            self.more.see(desk.clocks.steady(), desk.learned, *self.view(desk.learned))
         if step(desk.learned) is desk.learned:
             return
         book = await desk.change(step)
+        if self.more is not None:
+            self.more.stepped(book)
         if holds(book.lead, desk.number, term):
             self.leading.said(desk.clocks.steady())
 
@@ -212,7 +272,9 @@
         view, limits = self.view(book)
         outs, self.waits = outs_module.advance(book.outs, book.at + 1, view, limits)
         after = book if outs == book.outs else put(book, outs=outs)
-        return after if self.more is None else self.more.step(self.desk.clocks.steady(), after, view)
+        if self.more is None:
+            return after
+        return self.more.step(self.desk.clocks.steady(), after, view, limits)
 
     async def _say(self, book: Book) -> None:
         """Have the list say how hosts under leave stand, until it does."""
@@ -224,16 +286,20 @@
 
     # Operators.
 
-    def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
+    async def take(self, path: str, body: bytes) -> Callable[[Book], Book] | None:
         """The change that an operator's word asks for; None where the path is not for this. Raises Refused,
-        msgspec.MsgspecError."""
+        NoMajority, msgspec.MsgspecError."""
         if path == "/fleet/v1/drain":
             asked: Asked = msgspec.json.decode(body, type=Asked)
             return lambda book: self._asked(book, asked)
         if path == "/fleet/v1/said":
             said: Said = msgspec.json.decode(body, type=Said)
             return lambda book: said_of_drain(book, said)
-        return self.more.take(path, body) if self.more is not None else None
+        return await self.more.take(path, body) if self.more is not None else None
+
+    def shows(self, path: str) -> object | None:
+        """What is to be seen under a path, None where nothing is."""
+        return self.more.shows(path) if self.more is not None else None
 
     def _asked(self, book: Book, asked: Asked) -> Book:
         if any(one.request == asked.request for one in book.outs.drains):
@@ -296,6 +362,8 @@
     if state == drain.state:
         return book
     outs = outs_module.change(book.outs, drain.number, state=state, why=said.why)
+    if state == "going":
+        outs = outs_module.resumed(outs, drain.number)
     if state == "back":
         outs = outs_module.called_back(outs, drain.number, book.at + 1)
     return put(book, outs=outs)
--- a/burlmast/fleet/outs.py
+++ b/burlmast/fleet/outs.py
@@ -141,6 +141,7 @@
     asked: float = 0.0  # kB/s, of all that plays
     uplink: float = 0.0  # kB/s of each rack's
     overdue: frozenset[int] = frozenset()  # hosts under leave at which the time for what plays is up
+    stalled: frozenset[tuple[str, int]] = frozenset()  # whose restart has taken too long
     blind: str = ""  # why nothing may be granted at all
 
 
@@ -272,6 +273,31 @@
     return msgspec.structs.replace(outs, leaves=leaves)
 
 
+def begun(outs: Outs, leave: Leave, by: str) -> Outs:
+    """The command that restarts a holder is begun; it is written down before it is."""
+    after = msgspec.structs.replace(leave, ran=by)
+    return msgspec.structs.replace(outs, leaves=tuple(after if one == leave else one for one in outs.leaves))
+
+
+def to_restart(outs: Outs) -> list[tuple[Leave, Drain]]:
+    """Whose restart is due."""
+    found = []
+    for leave in outs.leaves:
+        drain = outs.drain(leave.drain)
+        due = leave.then == "restart" and leave.out and not leave.ran and not leave.back
+        if due and drain is not None and drain.state == "going" and drain.command:
+            found.append((leave, drain))
+    return found
+
+
+def resumed(outs: Outs, number: int) -> Outs:
+    """A drain goes on; a restart that did not bring its holder back is begun anew."""
+    leaves = tuple(
+        msgspec.structs.replace(one, ran="") if one.drain == number else one for one in outs.leaves
+    )
+    return change(msgspec.structs.replace(outs, leaves=leaves), number, state="going", why="")
+
+
 def vouched(outs: Outs, kind: str, subject: int) -> Outs:
     """An operator vouches that one is in, or will never go on its leave: its disk was lost, or it was taken
     out of service for good."""
@@ -284,7 +310,7 @@
     for what and for whom. Where nothing follows the outs are as they were."""
     outs = _words(outs, view)
     for leave in outs.leaves:
-        if leave.kind == HOST and leave.out and not leave.back and leave.then == "back":
+        if leave.kind == HOST and not leave.back and _comes_back(leave, view):
             called = msgspec.structs.replace(leave, back=revision)
             outs = msgspec.structs.replace(
                 outs, leaves=tuple(called if one is leave else one for one in outs.leaves)
@@ -300,6 +326,13 @@
     return _settled(outs), waits
 
 
+def _comes_back(leave: Leave, view: View) -> bool:
+    """Whether a host that is out is to be called back by itself."""
+    seen = view.hosts.get(leave.subject)
+    restarted = seen is not None and seen.started != leave.started
+    return leave.out and (leave.then == "back" or (leave.then == "restart" and restarted))
+
+
 def _words(outs: Outs, view: View) -> Outs:
     """What holders say of their leaves."""
     for leave in outs.leaves:
@@ -328,6 +361,9 @@
             outs = change(outs, drain.number, done=(*drain.done, leave.subject))
         elif state == "late" and drain.state == "going":
             outs = change(outs, drain.number, state="halted", why=why)
+        elif (leave.kind, leave.subject) in view.stalled and drain.state == "going" and leave.ran:
+            why = f"{leave.kind} {leave.subject} is not back: desk {leave.ran} began its restart"
+            outs = change(outs, drain.number, state="halted", why=why)
     return outs
 
 
--- a/burlmast/fleet/sight.py
+++ b/burlmast/fleet/sight.py
@@ -121,7 +121,7 @@
             blind = "the list that gateways go by is not known here yet"
         hosts = self._hosts(now, wall, ground, lists - set(missing))
         asked = sum(hello.away.asked for hello in self.heard.values())
-        return View(gateways, hosts, ground.titles, ground.cells, asked, ground.uplink, overdue, blind)
+        return View(gateways, hosts, ground.titles, ground.cells, asked, ground.uplink, overdue, blind=blind)
 
     def _gateway(self, now: int, number: int, ground: Ground, gone: Mapping[str, str]) -> GatewaySeen:
         hello = self.heard.get(number)
--- a/burlmast/release/plan.py
+++ b/burlmast/release/plan.py
@@ -89,7 +89,7 @@
     return tuple(sorted(one.gateways)) or tuple(range(gateways))
 
 
-def steps(one: Plan, gateways: int) -> list[tuple[int, ...]]:
+def groups(one: Plan, gateways: int) -> list[tuple[int, ...]]:
     """The canary, then each wave's own gateways; a wave that adds nobody is left out."""
     everyone = whom(one, gateways)
     canary = tuple(sorted(one.canary)) or everyone[:1]
--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -16,7 +16,7 @@
 from burlmast.fleet import orders, outs
 from burlmast.fleet.orders import Book, Order, Refused, put
 from burlmast.fleet.outs import GATEWAY, Drain
-from burlmast.release.plan import Plan, steps
+from burlmast.release.plan import Plan, groups
 
 LOGGED = 60  # steps of which a release tells
 KEPT = 8  # releases that are over and still shown
@@ -43,11 +43,12 @@
     why: str = ""
     step: int = 0  # 0 the canary, then the waves
     resumes: str = ""  # what a halted one goes back to
+    cause: str = ""  # the input that halted it
     before: tuple[tuple[str, float, tuple[int, ...]], ...] = ()  # settings, lease, and who acted on them
-    builds: dict[int, str] = {}  # of a build: who ran which at the start
     touched: tuple[int, ...] = ()  # to whom it has been put out
     orders: tuple[int, ...] = ()
     drains: tuple[int, ...] = ()
+    drains_back: int | None = None  # from this place on, drains bring the earlier build back
     back: tuple[tuple[int, ...], ...] = ()  # who goes back, group by group
     log: tuple[Logged, ...] = ()
 
@@ -59,7 +60,8 @@
     @property
     def moving(self) -> bool:
         """Whether it is to be looked at."""
-        return self.state not in ("done", "given up", "halted")
+        by_plan = self.state == "halted" and self.cause == "harm" and self.plan.harm == "back"
+        return by_plan or self.state not in ("done", "given up", "halted")
 
 
 class Facts(NamedTuple):
@@ -113,6 +115,8 @@
     """The input that what is seen comes to, and why; "" for none."""
     plan = release.plan
     group = in_hand(release, gateways)
+    if release.state == "halted" and release.moving:
+        return "back by the plan", release.why
     if release.state == "halted" or release.over:
         return "", ""
     if release.state == "planned":
@@ -134,10 +138,10 @@
         missing = [n for n in group if n not in facts.on_it]
         if not missing:
             return "all on it", f"{len(group)} gateways act on it"
-        if facts.overdue:
+        if facts.overdue or any(n in facts.left for n in missing):
             return "lags", _named(missing, facts, "does not act on it")
         return "", ""
-    last = release.step + 1 >= len(steps(plan, gateways))
+    last = release.step + 1 >= len(groups(plan, gateways))
     if facts.watched:
         return ("well, and the last" if last else "well"), "nothing is known to be worse"
     if facts.starved:
@@ -171,7 +175,7 @@
     """Whose step it is."""
     if release.state == "going back":
         return release.back[0] if release.back else ()
-    found = steps(release.plan, gateways)
+    found = groups(release.plan, gateways)
     return found[min(release.step, len(found) - 1)]
 
 
@@ -184,11 +188,13 @@
     state, effect = row
     if happening == "operator goes back" and release.state == "going back":
         return book
+    halts = state == "halted" and release.state != "halted"
     after = msgspec.structs.replace(
         release,
         state=state or release.resumes,
         why=say.why,
-        resumes=release.state if state == "halted" and release.state != "halted" else release.resumes,
+        resumes=release.state if halts else release.resumes,
+        cause=happening if state == "halted" else "",
         step=release.step + (happening == "well"),
     )
     if effect:
@@ -225,20 +231,21 @@
     if going:
         raise Refused(f"release {going[0].number} ({going[0].plan.name}) is {going[0].state}; one at a time")
     release = msgspec.structs.replace(release, number=book.at + 1)
-    if release.plan.settings:
-        release = msgspec.structs.replace(release, before=_before(book, release))
+    release = msgspec.structs.replace(release, before=_before(book, release))
     return put(keep(book, release))
 
 
 def _before(book: Book, release: Release) -> tuple[tuple[str, float, tuple[int, ...]], ...]:
     """What the gateways of a release follow now."""
-    groups: dict[tuple[str, float], list[int]] = {}
-    for group in steps(release.plan, book.gateways):
+    found: dict[tuple[str, float], list[int]] = {}
+    if not release.plan.settings:
+        return ()
+    for group in groups(release.plan, book.gateways):
         for n in group:
             order = orders.wanted(book, n)
             version = (order.settings, order.lease_ms) if order is not None else ("", book.base_lease_ms)
-            groups.setdefault(version, []).append(n)
-    return tuple((name, lease, tuple(sorted(who))) for (name, lease), who in groups.items())
+            found.setdefault(version, []).append(n)
+    return tuple((name, lease, tuple(sorted(who))) for (name, lease), who in found.items())
 
 
 # Effects: each gives the book and the release after it.
@@ -293,13 +300,15 @@
 
 def _put_back(book: Book, release: Release) -> tuple[Book, Release]:
     if not release.back:
-        groups = steps(release.plan, book.gateways)
-        touched = [tuple(n for n in group if n in release.touched) for group in reversed(groups)]
+        reached = set(release.touched) if release.plan.settings else restarted(book, release)[0]
+        touched = [
+            tuple(n for n in group if n in reached) for group in reversed(groups(release.plan, book.gateways))
+        ]
         touched = [group for group in touched if group]
         if release.plan.back == "at once" and touched:
-            touched = [tuple(sorted(release.touched))]
-        release = msgspec.structs.replace(release, back=tuple(touched))
+            touched = [tuple(sorted(reached))]
         book, release = _call_off(book, release)
+        release = msgspec.structs.replace(release, back=tuple(touched), drains_back=len(release.drains))
     else:
         release = msgspec.structs.replace(release, back=release.back[1:])
     group = release.back[0] if release.back else ()
@@ -328,6 +337,17 @@
     return (put(book, outs=out) if out != book.outs else book), release
 
 
+def restarted(book: Book, release: Release) -> tuple[set[int], set[int]]:
+    """Of a build: who has been restarted into it, or may have been, and who has been brought back since."""
+    found: tuple[set[int], set[int]] = set(), set()
+    for place, number in enumerate(release.drains):
+        drain = book.outs.drain(number)
+        way = found[release.drains_back is not None and place >= release.drains_back]
+        way |= set(drain.done) if drain is not None else set()
+        way |= {one.subject for one in book.outs.leaves if one.drain == number and one.ran}
+    return found
+
+
 def _watch(book: Book, release: Release) -> tuple[Book, Release]:
     return book, release
 
--- a/burlmast/release/watching.py
+++ b/burlmast/release/watching.py
@@ -46,6 +46,7 @@
     release: int = 0
     step: int = 0
     measures: dict[str, Count] = {}
+    mark: str = ""  # of the last look that is in it
 
 
 class Part(NamedTuple):
--- a/tests/works.py
+++ b/tests/works.py
@@ -159,6 +159,10 @@
         """`burlmast fleet ...` as a process, against all desks; exit code and what it printed."""
         return await self._operate([*words, *self._desks(self.desks)])
 
+    async def release(self, *words: str) -> tuple[int, str]:
+        """As `operate`, of `burlmast release`."""
+        return await self._operate([*words, *self._desks(self.desks)], "release")
+
     async def operate_at(self, desk: int, *words: str) -> tuple[int, str]:
         """As `operate`, against one desk."""
         return await self._operate([*words, *self._desks([self.desks[desk]])])
@@ -167,9 +171,9 @@
     def _desks(desks: list[Process]) -> list[str]:
         return [word for desk in desks for word in ("--desk", f"127.0.0.1:{desk.port}")]
 
-    async def _operate(self, words: list[str]) -> tuple[int, str]:
+    async def _operate(self, words: list[str], group: str = "fleet") -> tuple[int, str]:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "burlmast", "fleet", *words,
+            sys.executable, "-m", "burlmast", group, *words,
             stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         out, err = await process.communicate()
