--- a/burlmast/fleet/plants.py
+++ b/burlmast/fleet/plants.py
@@ -107,10 +107,14 @@
         if bad and zlib.crc32(b"%d" % self._count) < self.fails * 2**32:
             asyncio.get_running_loop().call_soon(self._ear.ended, one, Ending.ERROR, Load())
         elif bad and self.late_s:
-            asyncio.get_running_loop().call_later(self.late_s, self._open, one)
+            asyncio.get_running_loop().call_later(self.late_s, self._late, one)
         else:
             self._open(one)
 
+    def _late(self, one: Any) -> None:
+        if one.state == "out":
+            self._open(one)
+
 
 PLANTS: dict[int, Callable[[FleetSide], object]] = {
     1: says_what_it_does_not_do,
--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -106,7 +106,7 @@
         for state in ("planned", "canary", "watching", "wave", "halted", "done", "going back")
     },
     ("halted", "back by the plan"): ("going back", "put back"),
-    ("going back", "group back"): ("going back", "put back"),
+    ("going back", "group back"): ("going back", "put the next back"),
     ("going back", "all back"): ("given up", "let go"),
 }
 
@@ -299,18 +299,24 @@
 
 
 def _put_back(book: Book, release: Release) -> tuple[Book, Release]:
-    if not release.back:
-        reached = set(release.touched) if release.plan.settings else restarted(book, release)[0]
-        touched = [
-            tuple(n for n in group if n in reached) for group in reversed(groups(release.plan, book.gateways))
-        ]
-        touched = [group for group in touched if group]
-        if release.plan.back == "at once" and touched:
-            touched = [tuple(sorted(reached))]
-        book, release = _call_off(book, release)
-        release = msgspec.structs.replace(release, back=tuple(touched), drains_back=len(release.drains))
-    else:
-        release = msgspec.structs.replace(release, back=release.back[1:])
+    """Those that it has reached go back, the last first; where they were going already, they go on."""
+    if release.back:
+        return _let_go(book, release)
+    reached = set(release.touched) if release.plan.settings else restarted(book, release)[0]
+    last_first = reversed(groups(release.plan, book.gateways))
+    back = [kept for group in last_first if (kept := tuple(n for n in group if n in reached))]
+    if release.plan.back == "at once" and back:
+        back = [tuple(sorted(reached))]
+    book, release = _call_off(book, release)
+    release = msgspec.structs.replace(release, back=tuple(back), drains_back=len(release.drains))
+    return _group_back(book, release)
+
+
+def _put_next_back(book: Book, release: Release) -> tuple[Book, Release]:
+    return _group_back(book, msgspec.structs.replace(release, back=release.back[1:]))
+
+
+def _group_back(book: Book, release: Release) -> tuple[Book, Release]:
     group = release.back[0] if release.back else ()
     if not group:
         return book, release
@@ -358,4 +364,5 @@
     "hold": _hold,
     "let go": _let_go,
     "put back": _put_back,
+    "put the next back": _put_next_back,
 }
