Drains in hard cases: who dies keeps its place, last holders stay, no majority brings back

A gateway or host that dies under leave keeps its place; a zone lost in the middle of a wave and a lowered limit let nobody go; the last holder of a title stays, with its name; without a majority nothing leaves and what is out comes back by itself; a desk that grants whatever is asked is named by the judge; a gateway that hears of its leave from others alone does not go on it. Found by these: a host that was replaced counted as come back by itself, and its drain asked for it for ever. All desks without disks go on with the gateways' book, halted, and with numbers that no lost book can have given.

--- a/burlmast/commands/fleet.py
+++ b/burlmast/commands/fleet.py
@@ -42,6 +42,7 @@
 @click.option("--ahead", type=float, default=0.0, hidden=True)
 @click.option("--speed", type=float, default=1.0, hidden=True)
 @click.option("--wall-speed", type=float, default=1.0, hidden=True)
+@click.option("--generous", is_flag=True, hidden=True, help="For trials: grants whatever is asked.")
 def desk(
     file: str,
     number: int,
@@ -53,6 +54,7 @@
     ahead: float,
     speed: float,
     wall_speed: float,
+    generous: bool,
 ) -> None:
     """Run one desk until SIGTERM: it holds orders, gives leases and gathers ledgers. No gateway waits for
     it."""
@@ -70,17 +72,18 @@
     clocks = Clocks(ahead, speed, wall_speed)
     words = deployment, number, all_desks, listen, Path(state), clocks, begin
     try:
-        work = run(*words, say, until_interrupted, lambda one: keeping(one, list_address))
+        work = run(*words, say, until_interrupted, lambda one: keeping(one, list_address, generous))
         raise SystemExit(asyncio.run(work))
     except (OSError, sqlite3.Error) as why:
         click.echo(f"desk: {why}", err=True)
         raise SystemExit(1) from None
 
 
-def keeping(desk: Any, list_address: Address | None) -> Any:
+def keeping(desk: Any, list_address: Address | None, generous: bool) -> Any:
     """A desk's part in drains and releases."""
     from burlmast.edge.loads import read_load
     from burlmast.fleet.keeper_shell import Keeper
+    from burlmast.fleet.outs import Limits
     from burlmast.release.shell import Releases
 
     async def tell(rows: dict[int, str]) -> None:
@@ -92,8 +95,9 @@
         if status != 200:
             raise ConnectionError(f"the list answers {status}: {told[:100]!r}")
 
+    limits = (lambda found: Limits(1000, None, 1000, None, None, 0, -1.0)) if generous else None
     streams = lambda headers: read_load(headers).streams  # noqa: E731
-    return Keeper(desk, streams, Releases(desk), tell if list_address is not None else None)
+    return Keeper(desk, streams, Releases(desk), tell if list_address is not None else None, limits)
 
 
 @click.group()
@@ -159,6 +163,7 @@
     Where gateways speak that know a book, all desks have lost their disks: it goes on with the latest.
     """
     from burlmast.fleet.desk_shell import first_book
+    from burlmast.release.steps import recovered
 
     book = first_book(settings(file), time.time_ns())
 
@@ -176,8 +181,9 @@
         for speaker in sorted(speakers) if not anew else ():
             status, told = await call(pool, split_address(speaker), "/fleet/v1/book", within=3.0)
             known: Book = msgspec.json.decode(told, type=Book) if status == 200 else Book()
-            if known.fleet and (not book.orders or known.at > book.at):
+            if known.fleet and (not book.at or known.at > book.at):
                 book = known
+        book = recovered(book) if book.orders or book.at else book
         for address in desks:
             status, told = await call(pool, address, "/fleet/v1/begin", msgspec.json.encode(Begin(book)))
             if status != 200:
--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -68,6 +68,9 @@
         """The change that an operator's word asks for, None where the path is not for this. Raises Refused,
         NoMajority, msgspec.MsgspecError."""
 
+    def recovered(self, book: Book) -> Book:
+        """A book found at gateways after all desks lost their disks, as it is gone on with."""
+
     def shows(self, path: str) -> object | None:
         """What is to be seen under a path, None where nothing is."""
 
@@ -598,6 +601,7 @@
                 known = max(known, orders.read_book(told), key=lambda one: (bool(one.fleet), one.at))
         if known.fleet:
             self.log.warning("goes on with the book of the gateways", fleet=known.fleet, order=known.number)
+        known = self.keeper.recovered(known) if known.fleet and self.keeper is not None else known
         book = known if known.fleet else first_book(self.deployment, time.time_ns())
         self._votes(register.begin(self.kept, orders.write_book(book)))
         self._learned(book)
--- a/burlmast/fleet/keeper_shell.py
+++ b/burlmast/fleet/keeper_shell.py
@@ -46,6 +46,9 @@
         """The change that an operator's word asks for, None where the path is another's. Raises Refused,
         NoMajority, msgspec.MsgspecError."""
 
+    def recovered(self, book: Book) -> Book:
+        """A book found at gateways after all desks lost their disks, as it is gone on with."""
+
     def shows(self, path: str) -> object | None:
         """What is to be seen under a path, None where nothing is."""
 
@@ -59,9 +62,11 @@
         streams: Callable[[Headers], float | None],
         more: More | None = None,
         tell_list: Callable[[dict[int, str]], Awaitable[None]] | None = None,
+        limits: Callable[[Deployment], Limits] | None = None,
     ) -> None:
         """`streams` reads of a host's answer how many play there; `tell_list` has the list say how hosts are
-        to stand."""
+        to stand; `limits` are those of the settings, but for trials."""
+        self._limits = limits or limits_of
         self.desk, self.more, self._streams, self._tell_list = desk, more, streams, tell_list
         self._beat = int(desk.beat_s * 1e9)
         self.leading = Leading(desk.number, self._beat, PATIENCE * self._beat)
@@ -155,7 +160,8 @@
             status, headers, _ = await Whole.of(
                 self.desk.pool, split_address(address), b"GET", b"/v1/load", within=self.desk.beat_s
             )
-        except (ConnectionError, TimeoutError, OSError):
+        except (ConnectionError, TimeoutError, OSError) as why:
+            self.desk.log.debug("a host does not say what plays there", host=address, why=str(why))
             return None
         found = self._streams(headers) if status == 200 else None
         return None if found is None else int(found)
@@ -172,9 +178,9 @@
             else:
                 versions.append(found)
         terms = versions or [desk.deployment]
-        limits = limits_of(terms[0])
+        limits = self._limits(terms[0])
         for one in terms[1:]:
-            limits = limits.strictest(limits_of(one))
+            limits = limits.strictest(self._limits(one))
         hosts = [one for one in book.outs.leaves if one.kind == HOST]
         overdue = frozenset(one.subject for one in hosts if self._since_was(now, one, "", one.plays_ms))
         restart = terms[0].edge.fleet.out.restart_ms
@@ -297,6 +303,10 @@
             return lambda book: said_of_drain(book, said)
         return await self.more.take(path, body) if self.more is not None else None
 
+    def recovered(self, book: Book) -> Book:
+        """See `desk_shell.Leads`."""
+        return self.more.recovered(book) if self.more is not None else book
+
     def shows(self, path: str) -> object | None:
         """What is to be seen under a path, None where nothing is."""
         return self.more.shows(path) if self.more is not None else None
--- a/burlmast/fleet/outs.py
+++ b/burlmast/fleet/outs.py
@@ -349,7 +349,7 @@
         if drain is None:
             continue
         there = leave.subject in drain.done
-        if state == "over" and leave.then == "stay" and not leave.back:
+        if state == "over" and leave.kind == GATEWAY and leave.then == "stay" and not leave.back:
             # It came back by itself, and was to stay out: it has to go again.
             done = tuple(one for one in drain.done if one != leave.subject)
             outs = change(
@@ -390,6 +390,8 @@
     if seen.finished >= leave.number:
         # Danger: its word that it is done is not yet a place for the next: it has to be well, too.
         return ("over", "") if seen.well else ("returning", seen.why)
+    if seen.state == "silent":
+        return ("out" if leave.out else "granted"), "silent"
     if seen.state == "late":
         return "late", f"gateway {leave.subject} still holds playbacks when its time is up"
     if seen.state in ("draining", "out", "returning", "finishing"):
@@ -440,6 +442,10 @@
                 state, why = standing(outs, held, view)
                 first = first or f"{drain.kind} {subject} is {state}" + (f": {why}" if why else "")
             continue
+        if drain.kind == HOST and subject not in view.hosts and not view.blind:
+            done = outs.drain(drain.number)
+            outs = change(outs, drain.number, done=(*(done.done if done else ()), subject))  # it has gone
+            continue
         whys = refusals(outs, drain.kind, subject, view, limits)
         if whys:
             first = first or f"{drain.kind} {subject}: {whys[0]}"
--- a/burlmast/release/shell.py
+++ b/burlmast/release/shell.py
@@ -305,6 +305,10 @@
             if why:
                 raise Refused(f"gateway {number}: {why}; nothing has begun")
 
+    def recovered(self, book: Book) -> Book:
+        """See `steps.recovered`."""
+        return steps.recovered(book)
+
     def shows(self, path: str) -> object | None:
         """The looks of a release."""
         number = path.removeprefix("/release/v1/looks/")
--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -19,6 +19,7 @@
 from burlmast.release.plan import Plan, groups
 
 LOGGED = 60  # steps of which a release tells
+LOST = 1 << 20  # more changes than a fleet makes between two words of a gateway
 KEPT = 8  # releases that are over and still shown
 
 
@@ -97,7 +98,7 @@
     **{
         (state, what): ("halted", "hold")
         for state in ("planned", "canary", "watching", "wave", "going back")
-        for what in ("harm", "lags", "blind", "too many out", "starved", "operator halts")
+        for what in ("harm", "lags", "blind", "too many out", "starved", "operator halts", "disks lost")
     },
     ("halted", "operator halts"): ("halted", ""),
     ("halted", "operator resumes"): ("", "let go"),  # to where it was
@@ -235,6 +236,19 @@
     return put(keep(book, release))
 
 
+def recovered(book: Book) -> Book:
+    """A book found at gateways after all desks lost their disks. Later ones may be lost: nothing goes on by
+    itself, and no number that a lost one may have given is given again."""
+    out = book.outs
+    for drain in out.drains:
+        if drain.state == "going":
+            out = outs.change(out, drain.number, state="halted", why="all desks lost their disks")
+    book = put(msgspec.structs.replace(book, revision=book.at + LOST, turn=book.moved + LOST), outs=out)
+    for release in all_of(book):
+        book = take(book, release.number, "disks lost", Say("all desks lost their disks", 0, -1))
+    return book
+
+
 def _before(book: Book, release: Release) -> tuple[tuple[str, float, tuple[int, ...]], ...]:
     """What the gateways of a release follow now."""
     found: dict[tuple[str, float], list[int]] = {}
--- a/tests/test_drains_processes.py
+++ b/tests/test_drains_processes.py
@@ -174,3 +174,195 @@
             assert verdict.plays > 100
 
     asyncio.run(run())
+
+
+async def drain_status(here: Works) -> str:
+    return (await here.operate("drain", "status"))[1]
+
+
+async def ways(here: Works) -> list[str]:
+    return [await way(here, number) for number in range(len(here.gateways))]
+
+
+async def until_told(here: Works, *texts: str, within: float = 20.0) -> None:
+    """Wait until the status of drains says all of this."""
+    told = ""
+
+    async def says() -> bool:
+        nonlocal told
+        told = await drain_status(here)
+        return all(text in told for text in texts)
+
+    try:
+        await here.until(says, within)
+    except AssertionError:
+        print(told)
+        raise
+
+
+def test_a_gateway_that_dies_while_it_drains_keeps_its_place(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, limited(fleet_of(3, hosts=12), plays_ms=20_000.0), 1) as here:
+
+            async def plays() -> bool:
+                return (await here.ask(0, lasts=60))[0] == 201
+
+            await here.until(plays)
+            await here.operate("drain", "gateway", "0", "1", "--then", "restart")
+            await until_told(here, "gateway 0 is draining")
+            await here.gateways[0].kill()
+            await until_told(here, "gateway 0 is granted: silent")
+            assert (await ways(here))[1:] == ["in", "in"], "its place is taken while it is dead"
+            await here.gateways[0].start()
+            # The restart that the drain waited for has happened; now the next one goes.
+            await until_told(here, "1 of 2 gateways have been out", "gateway 1  out under leave")
+            assert await ways(here) == ["in", "out", "in"]
+
+    asyncio.run(run())
+
+
+def test_who_is_lost_without_leave_counts_and_a_lowered_limit_lets_nobody_go(tmp_path: Path) -> None:
+    async def run() -> None:
+        deployment = limited(fleet_of(5, hosts=12), gateways=2, gateways_zone=2, plays_ms=300.0)
+        async with works(tmp_path, deployment, 3) as here:
+            await here.operate("drain", "gateway", "0", "1", "2", "3", "4")
+            await until_told(here, "2 of 5 gateways have been out")
+            assert await ways(here) == ["out", "out", "in", "in", "in"]
+            # A zone is lost in the middle of the wave: gateways 2 and 4 are of zone 0.
+            for number in (2, 4):
+                await here.gateways[number].kill()
+            lower = here.version(limited(deployment, gateways=1, plays_ms=300.0))
+            code, told = await here.operate("order", lower)
+            assert code == 0, told
+            await here.in_force(1, 0, 1, 3)
+            await here.operate("drain", "vouch", "gateway", "0")  # an operator takes one for back
+
+            async def back() -> bool:
+                return await way(here, 0) == "in"
+
+            await here.until(back)
+            await until_told(here, "gateway 2: 1 gateways of the fleet may be out")
+            assert await ways(here) == ["in", "out", "", "in", ""]
+            for number in (2, 4):
+                await here.gateways[number].start()
+            await until_told(here, "gateway 2: 1 gateways of the fleet may be out: out are 1 (under leave)")
+            assert await ways(here) == ["in", "out", "in", "in", "in"]
+
+    asyncio.run(run())
+
+
+def test_the_last_holder_of_a_title_does_not_leave_and_a_dead_host_counts(tmp_path: Path) -> None:
+    async def run() -> None:
+        deployment = fleet_of(2, hosts=12)
+        alone = msgspec.structs.replace(deployment.titles[0], copies=1)
+        deployment = msgspec.structs.replace(deployment, titles=(alone, *deployment.titles[1:]))
+        async with works(tmp_path, limited(deployment, hosts=3, hosts_rack=1, plays_ms=5000.0), 1) as here:
+            cells = {int(str(row["cell"])): host for host, row in here.fleet.rows.items()}
+            racks = deployment.fleet.racks
+            last = cells[alone.home]
+
+            async def drained(*words: str) -> bool:
+                code, told = await here.operate("drain", *words)
+                assert code == 0 or "ask again shortly" in told, told
+                return code == 0
+
+            await here.until(lambda: drained("host", str(last)))
+            await until_told(
+                here, f"host {last}: title {alone.name} would have 0 holders, and 1 must stay in"
+            )
+            # Another rack, of which a host dies while it drains: its place is not given to the next.
+            rack = (alone.home + 1) % racks
+            mine = sorted(host for cell, host in cells.items() if cell % racks == rack)
+            await drained("rack", str(rack))
+            await until_told(here, "1 of 4 hosts have been out", f"host {mine[0]}  out under leave")
+            here.fleet.crash(mine[0])
+            await until_told(here, f"host {mine[1]}: 1 hosts of rack {rack} may be out")
+            await here.fleet.replace(mine[0])
+            await until_told(here, "2 of 4 hosts have been out", f"host {mine[1]}  out under leave")
+            out = hosts_out(here.records)
+            assert last not in {one.who for one in out}
+
+    asyncio.run(run())
+
+
+def test_without_a_majority_nothing_leaves_and_what_is_out_comes_back(tmp_path: Path) -> None:
+    async def run() -> None:
+        deployment = limited(fleet_of(3, hosts=12), plays_ms=300.0, alone_ms=1200.0)
+        async with works(tmp_path, deployment, 3) as here:
+            await here.operate("drain", "gateway", "0", "1")
+            await until_told(here, "1 of 2 gateways have been out")
+            for desk in here.desks[:2]:
+                await desk.kill()
+
+            async def back() -> bool:
+                return await ways(here) == ["in", "in", "in"]
+
+            await here.until(back)
+            code, told = await here.operate("drain", "gateway", "2")
+            assert code == 1, told
+            await here.desks[0].start()
+            # It was to stay out: it goes again, alone, once a majority is there.
+            await until_told(here, "1 of 2 gateways have been out", "gateway 0  out under leave")
+            assert await ways(here) == ["out", "in", "in"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("generous", [False, True])
+def test_a_desk_that_grants_too_much_is_named_by_the_judge(tmp_path: Path, generous: bool) -> None:
+    async def run() -> None:
+        async with works(tmp_path, limited(fleet_of(4, hosts=12), plays_ms=300.0), 1, gateways=False) as here:
+            if generous:
+                await here.desks[0].kill()
+                here.desks[0].extra = ["--generous"]
+                await here.desks[0].start()
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(*range(4))
+            watch = Watch(here)
+            await here.operate("drain", "gateway", "0", "1", "2")
+            await until_told(here, ("3" if generous else "1") + " of 3 gateways have been out")
+            since = len(watch.seen)
+            await here.until(lambda: seen_more(watch, since + 40))
+            await watch.stop()
+            assert most(gateways_out(watch.seen)).number == (3 if generous else 1)
+
+    asyncio.run(run())
+
+
+async def seen_more(watch: Watch, number: int) -> bool:
+    return len(watch.seen) >= number
+
+
+@pytest.mark.parametrize("believes", [False, True])
+def test_a_halt_stops_who_cannot_hear_it(tmp_path: Path, believes: bool) -> None:
+    """A gateway that hears of its leave from others alone does not go on it; one with that guard taken out
+    does, after the halt."""
+
+    async def run() -> None:
+        async with works(tmp_path, limited(fleet_of(3, hosts=12), plays_ms=300.0), 1, gateways=False) as here:
+            if believes:
+                here.gateways[1].extra = ["--fleet-plant", "5"]
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(0, 1, 2)
+            await here.acquainted()
+            # From now on it speaks to the desk, and hears nothing of it.
+            here.cut(1, DEAF)
+            code, told = await here.operate("drain", "gateway", "1")
+            assert code == 0, told
+
+            async def knows() -> bool:
+                return (await here.own(1)).get("leave") is not None
+
+            await here.until(knows)
+            code, told = await here.operate("drain", "halt", "1")
+            assert code == 0 or believes, told  # the one that asks nobody may be out already
+            began = time.monotonic()
+
+            async def long_enough() -> bool:
+                return time.monotonic() - began > 1.5 or await way(here, 1) != "in"
+
+            await here.until(long_enough)
+            assert (await way(here, 1) == "in") != believes
+            here.heal()
+
+    asyncio.run(run())
