--- a/tests/works.py
+++ b/tests/works.py
@@ -163,6 +163,10 @@
         """As `operate`, of `burlmast release`."""
         return await self._operate([*words, *self._desks(self.desks)], "release")
 
+    async def release_at(self, desk: int, *words: str) -> tuple[int, str]:
+        """As `release`, against one desk."""
+        return await self._operate([*words, *self._desks([self.desks[desk]])], "release")
+
     async def operate_at(self, desk: int, *words: str) -> tuple[int, str]:
         """As `operate`, against one desk."""
         return await self._operate([*words, *self._desks([self.desks[desk]])])
