--- a/burlmast/fleet/keeper_shell.py
+++ b/burlmast/fleet/keeper_shell.py
@@ -130,21 +130,19 @@
                     desk.log.debug("the list has moved on", name=name)
 
     async def _see_hosts(self, book: Book) -> None:
-        desk, sight = self.desk, self.desk.sight
-        hosts = {one.subject for one in book.outs.leaves if one.kind == HOST}
-        where = sight.addresses()
-        sight.plays = {host: n for host, n in sight.plays.items() if host in hosts}
-        asked = [host for host in sorted(hosts) if host in where]
-        for host, plays in zip(
-            asked, await asyncio.gather(*(self._plays(where[h]) for h in asked)), strict=True
-        ):
-            if plays is None:
-                sight.plays.pop(host, None)
-            else:
-                sight.plays[host] = plays
-        now = desk.clocks.steady()
-        held = {(one.number, one.kind, one.subject, ran) for one in book.outs.leaves for ran in {"", one.ran}}
+        hosts, where = self.mark(book), self.desk.sight.addresses()
+        asked = [host for host in hosts if host in where]
+        found = await asyncio.gather(*(self._plays(where[host]) for host in asked))
+        self.desk.sight.plays = {
+            host: plays for host, plays in zip(asked, found, strict=True) if plays is not None
+        }
+
+    def mark(self, book: Book) -> list[int]:
+        """Take down since when this desk leads with each leave; the hosts under leave."""
+        now, leaves = self.desk.clocks.steady(), book.outs.leaves
+        held = {(one.number, one.kind, one.subject, ran) for one in leaves for ran in {"", one.ran}}
         self._since = {key: self._since.get(key, now) for key in held}
+        return sorted(one.subject for one in leaves if one.kind == HOST)
 
     async def _get(self, address: str, path: str) -> bytes | None:
         try:
@@ -258,7 +256,7 @@
         def step(book: Book) -> Book:
             if not holds(book.lead, desk.number, term):
                 return book  # another leads: whatever this desk was about to do has no effect
-            after = self._advanced(book)
+            after = self.advanced(book)
             if after is book and not renew:
                 return book
             beat = msgspec.structs.replace(book.lead, beat=book.lead.beat + 1)
@@ -274,7 +272,8 @@
         if holds(book.lead, desk.number, term):
             self.leading.said(desk.clocks.steady())
 
-    def _advanced(self, book: Book) -> Book:
+    def advanced(self, book: Book) -> Book:
+        """The book after what follows now from what this desk sees."""
         view, limits = self.view(book)
         outs, self.waits = outs_module.advance(book.outs, book.at + 1, view, limits)
         after = book if outs == book.outs else put(book, outs=outs)
--- a/burlmast/release/shell.py
+++ b/burlmast/release/shell.py
@@ -104,10 +104,14 @@
             seen = self._seen.get(release.number)
             if seen is not None:
                 on_it, _, _ = self._who(release, book)
-                for life, (number, counts) in self._now.items():
-                    if number not in on_it and life in seen.counts:
-                        seen.spread.add(life, watching.difference(seen.counts[life], counts))
-                    seen.counts[life] = counts
+                seen.spread.look(
+                    {
+                        life: watching.difference(seen.counts[life], counts)
+                        for life, (number, counts) in sorted(self._now.items())
+                        if number not in on_it and life in seen.counts
+                    }
+                )
+                seen.counts |= {life: counts for life, (_, counts) in self._now.items()}
 
     def _keep_look(
         self,
--- a/burlmast/release/watching.py
+++ b/burlmast/release/watching.py
@@ -8,7 +8,7 @@
 
 Two departures. Bad things come in bursts, and gateways differ: how far those on the old version differ among
 themselves, beyond chance, is estimated, and the likelihood is divided by it. And the sum is kept from falling
-under the lower bound, so that a version that was well for long and then fails is found as fast as at first.
+far, so that a version that was well for long and then fails is found nearly as fast as at first.
 """
 
 from __future__ import annotations
@@ -71,8 +71,9 @@
 
     @property
     def lower(self) -> float:
-        """The sum is not let under it."""
-        return log(self.miss)
+        """The sum is not let under it: twice as far as Wald's lower bound, or each return from it would be
+        another chance of a false alarm."""
+        return 2 * log(self.miss)
 
 
 def difference(before: Mapping[str, int], after: Mapping[str, int]) -> dict[str, int]:
@@ -86,12 +87,10 @@
     parts = list(parts)
     found = {}
     for what in terms.compare:
-        bad, of = MEASURES[what]
         count = evidence.measures.get(what, Count())
         new, old, new_bad, old_bad = 0.0, 0.0, 0.0, 0.0
         for one in parts:
-            failed = sum(one.counts.get(name, 0) for name in bad)
-            seen = max(one.counts.get(of, 0), failed if of == "asked" else 0)
+            failed, seen = bad_of(what, one.counts)
             if one.new:
                 new, new_bad = new + seen, new_bad + failed
             else:
@@ -142,32 +141,54 @@
 
 
 class Spread:
-    """How far gateways on the old version differ among themselves in a measure, as a multiple of chance
-    (Pearson's statistic over its degrees of freedom): 1 where only chance tells them apart."""
+    """How far gateways on the old version differ in a measure, as a multiple of chance (Pearson's statistic
+    over its degrees of freedom): 1 where only chance tells them apart. Looked at twice: within each look,
+    which finds bursts, and over all looks, which finds gateways that fare otherwise than the rest."""
 
-    LEAST = 5.0  # expected bad events a gateway, below which it tells nothing
+    PRIOR, WEIGHT = 2.0, 10.0  # what is believed before anything is seen, and for how many degrees
 
     def __init__(self) -> None:
-        self._bad: dict[tuple[str, str], float] = {}
-        self._of: dict[tuple[str, str], float] = {}
-
-    def add(self, who: str, counts: Mapping[str, int]) -> None:
-        """What one on the old version did between two looks."""
-        for what, (bad, of) in MEASURES.items():
-            key = what, who
-            failed = sum(counts.get(name, 0) for name in bad)
-            self._bad[key] = self._bad.get(key, 0.0) + failed
-            self._of[key] = self._of.get(key, 0.0) + counts.get(of, 0)
+        self._chi: dict[str, float] = {}
+        self._degrees: dict[str, float] = {}
+        self._all: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def look(self, parts: Mapping[str, Mapping[str, int]]) -> None:
+        """What each on the old version did between two looks."""
+        for what in MEASURES:
+            cells = [bad_of(what, counts) for counts in parts.values()]
+            chi, degrees = pearson(cells)
+            self._chi[what] = self._chi.get(what, 0.0) + chi
+            self._degrees[what] = self._degrees.get(what, 0.0) + degrees
+            for who, (bad, of) in zip(parts, cells, strict=True):
+                before = self._all.get((what, who), (0.0, 0.0))
+                self._all[what, who] = before[0] + bad, before[1] + of
 
     def by_measure(self) -> dict[str, float]:
         """For `look`."""
         return {what: self._one(what) for what in MEASURES}
 
     def _one(self, what: str) -> float:
-        keys = [key for key in self._of if key[0] == what and self._of[key] > 0]
-        total, bad = sum(self._of[key] for key in keys), sum(self._bad[key] for key in keys)
-        if len(keys) < 2 or bad < self.LEAST * len(keys) or not total:
-            return 1.0
-        rate = bad / total
-        chi = sum((self._bad[key] - rate * self._of[key]) ** 2 / (rate * self._of[key]) for key in keys)
-        return max(1.0, chi / (len(keys) - 1))
+        within = self._believed(self._chi.get(what, 0.0), self._degrees.get(what, 0.0))
+        chi, degrees = pearson([cell for (name, _), cell in self._all.items() if name == what])
+        return max(1.0, within, self._believed(chi, degrees))
+
+    def _believed(self, chi: float, degrees: float) -> float:
+        return (self.PRIOR * self.WEIGHT + chi) / (self.WEIGHT + degrees)
+
+
+def bad_of(what: str, counts: Mapping[str, int]) -> tuple[float, float]:
+    """Of a measure: the bad, and what they are a part of."""
+    bad, of = MEASURES[what]
+    failed = sum(counts.get(name, 0) for name in bad)
+    return float(failed), float(max(counts.get(of, 0), failed if of == "asked" else 0))
+
+
+def pearson(cells: Iterable[tuple[float, float]]) -> tuple[float, float]:
+    """Pearson's statistic of bad counts around their common rate, and its degrees of freedom; none where
+    nothing bad was seen."""
+    cells = [cell for cell in cells if cell[1] > 0]
+    bad, of = sum(cell[0] for cell in cells), sum(cell[1] for cell in cells)
+    if len(cells) < 2 or not bad:
+        return 0.0, 0.0
+    rate = bad / of
+    return sum((cell[0] - rate * cell[1]) ** 2 / (rate * cell[1]) for cell in cells), len(cells) - 1.0
--- a/burlmast/settings/sheets.py
+++ b/burlmast/settings/sheets.py
@@ -122,7 +122,7 @@
     plays_ms: float = 60_000.0  # how long what plays may go on where a drain does not say
     alone_ms: float = 30_000.0  # without word from a majority of desks, what is out comes back
     restart_ms: float = 60_000.0  # a restart that takes longer halts its drain
-    silent_beats: float = 4.0  # a gateway not heard for so long counts as out
+    silent_beats: float = 8.0  # a gateway not heard for so long counts as out
 
 
 class FleetTerms(Sheet, frozen=True):
