Benchmarks of drains and releases: model at size, watch, chaos, null and bad releases, desks

Need: the issue's figures come from runs that can be repeated. benchmarks/release.py plays whole releases in virtual time with the same cores (leaves, ways, consent, sight, lead, steps), beside all at once and fixed waves; simulates watches; and runs the process tests' own works for chaos, sound and bad versions and the desks' times.

--- a/benchmarks/release.py
+++ b/benchmarks/release.py
@@ -11,9 +11,12 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import random
 import statistics
 import sys
+import tempfile
+import time
 from collections.abc import Callable
 from pathlib import Path
 from types import SimpleNamespace
@@ -23,7 +26,9 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from works import fleet_of
+import test_drains_processes as trial
+import test_release_processes as releases
+from works import Works, fleet_of, works
 
 from burlmast.fleet import outs as outs_module
 from burlmast.fleet.going import Consent, Going, Traveller, lets
@@ -41,6 +46,7 @@
 from burlmast.release.steps import Release
 from burlmast.release.watching import Evidence, Part, Spread, Terms
 from burlmast.settings.sheets import Deployment, OutTerms
+from burlmast.world.traffic import Answered, Asked
 
 BEAT = 1_000_000_000  # of the model
 MS = 1_000_000
@@ -483,11 +489,152 @@
                 print(f"{told}  {missed}  {statistics.median(extra):10.1f}", flush=True)
 
 
+# On sockets, with the tests' own works.
+
+
+def chaos(words: argparse.Namespace) -> None:
+    """Everything drained while desks fail; a seed a line."""
+    for seed in range(1, words.seeds + 1):
+        with tempfile.TemporaryDirectory() as folder:
+            began = time.monotonic()
+            trial.test_everything_is_drained_in_waves_while_desks_fail(Path(folder), seed)
+            print(f"seed {seed}: held, {time.monotonic() - began:.1f} s", flush=True)
+
+
+def null(words: argparse.Namespace) -> None:
+    """Releases of versions that differ in nothing that matters, while a tenth of all set-ups fail."""
+
+    async def run(folder: Path) -> None:
+        deployment = trial.limited(fleet_of(6, hosts=12), gateways=4)
+        async with works(folder, deployment, 1) as here:
+            for host in here.fleet.hosts:
+                here.fleet.ail(host, errors=0.1)
+            watch = trial.Watch(here, 0.02)
+            ended, took = [], []
+            for number in range(words.seeds):
+                began = time.monotonic()
+                terms = {"canary_s": 2.0, "wave_s": 1.0, "least": 60, "longest": 30.0}
+                await releases.started(here, releases.plan(here, here.version(), watch=terms))
+                found = await releases.until_state(here, "done", "halted", "given up", within=90.0)
+                if found.state != "done":
+                    print(f"release {number}: {found.log}")
+                    await releases.until_state(here, "given up", within=90.0)
+                ended.append(found.state)
+                took.append(time.monotonic() - began)
+            await watch.stop()
+            done = ended.count("done")
+            print(f"{len(ended)} sound versions: {done} done, {len(ended) - done} halted; "
+                  f"{statistics.median(took):.1f} s each")  # fmt: skip
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(run(Path(folder)))
+
+
+BAD = {7: "three in five set-ups fail", 8: "a second late", 9: "four in five fail over 12 a second",
+       10: "three in five fail after 3 s"}  # fmt: skip
+
+
+def bad(words: argparse.Namespace) -> None:
+    """Viewers that were not served by those on a bad version, beside the same span before it."""
+
+    async def run(folder: Path, plant: int) -> tuple[int, int, float]:
+        deployment = trial.limited(fleet_of(6, hosts=12), gateways=4)
+        async with works(folder, deployment, 1, gateways=False) as here:
+            for one in here.gateways:
+                one.extra = ["--fleet-plant", str(plant)]
+            await asyncio.gather(*(one.start() for one in here.gateways))
+            await here.ready(*range(6))
+            watch = trial.Watch(here, 0.02)
+            terms = releases.WATCH | {"canary_s": 6.0, "wave_s": 2.0, "least": 40}
+            began = time.monotonic()
+            await releases.started(here, releases.plan(here, here.version(), watch=terms))
+            found = await releases.until_state(here, "given up", "done", within=60.0)
+            took = time.monotonic() - began
+            await watch.stop()
+            asked = {one.request: one.gateway for one in here.records if type(one) is Asked}
+            lost = [one for one in here.records if type(one) is Answered and one.status != 201]
+            harmed = sum(1 for one in lost if asked[one.request] in found.touched)
+            return harmed, len(found.touched), took
+
+    for plant, what in BAD.items():
+        found = []
+        for _ in range(words.seeds):
+            with tempfile.TemporaryDirectory() as folder:
+                found.append(asyncio.run(run(Path(folder), plant)))
+        harmed = [one[0] for one in found]
+        saw, back = max(one[1] for one in found), statistics.median(one[2] for one in found)
+        told = f"{what:36} harmed {statistics.median(harmed):5.1f} (worst {max(harmed)})"
+        print(f"{told}, gateways that saw it {saw}, back after {back:.1f} s", flush=True)
+
+
+def desks(words: argparse.Namespace) -> None:
+    """Control figures at a beat of 200 ms, three desks."""
+
+    async def run(folder: Path) -> None:
+        deployment = trial.limited(fleet_of(8, hosts=12), gateways=8, plays_ms=200.0)
+        async with works(folder, deployment, 3) as here:
+            began = time.monotonic()
+            await here.operate("drain", "gateway", *map(str, range(8)), "--then", "back")
+
+            async def over(count: int = 1) -> bool:
+                return [one.state for one in await trial.drains(here)] == ["over"] * count
+
+            await here.until(over)
+            print(f"8 leaves, out and back: {time.monotonic() - began:.2f} s")
+            leads = []
+            await here.operate("drain", "gateway", "0")
+            for _ in range(words.seeds):
+                one = await releases.leader(here)
+                term = (await releases.book(here)).lead.term
+                await here.desks[one].kill()
+                began = time.monotonic()
+
+                async def another(term: int = term) -> bool:
+                    return (await releases.book(here)).lead.term > term
+
+                await here.until(another)
+                leads.append((time.monotonic() - began) / 0.2)
+                await here.desks[one].start()
+            print(f"a new lead after a kill: {statistics.median(leads):.1f} beats (most {max(leads):.1f})")
+            silences = []
+            for number in range(words.seeds):
+                target = str(1 + number % 7)
+                await here.operate("drain", "gateway", target)
+                drain = (await trial.drains(here))[-1].number
+                await here.operate("drain", "halt", str(drain))
+                halted, last = time.monotonic(), 0.0
+                while time.monotonic() - halted < 2.0:
+                    if await trial.way(here, int(target)) == "in":
+                        await asyncio.sleep(0.01)
+                        continue
+                    last = last or time.monotonic() - halted
+                    break
+                silences.append(last / 0.2)
+                await here.operate("drain", "back", str(drain))
+                await here.until(lambda target=target: settled(here, int(target)))
+            print(f"last to begin after a halt was answered: {max(silences):.2f} beats (0: none began)")
+
+    async def settled(here: Works, number: int) -> bool:
+        return await trial.way(here, number) == "in" and not any(
+            one.state == "back" for one in await trial.drains(here)
+        )
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(run(Path(folder)))
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    runs: dict[str, Callable[[argparse.Namespace], None]] = {"model": model, "watch": watch}
+    runs: dict[str, Callable[[argparse.Namespace], None]] = {
+        "model": model,
+        "watch": watch,
+        "chaos": chaos,
+        "null": null,
+        "bad": bad,
+        "desks": desks,
+    }
     parser.add_argument("what", choices=sorted(runs))
     parser.add_argument("--sizes", type=int, default=4)
     parser.add_argument("--seeds", type=int, default=20)
