--- a/benchmarks/release.py
+++ b/benchmarks/release.py
@@ -24,8 +24,7 @@
 
 import msgspec
 
-for _room in ("tests", "."):
-    sys.path.insert(0, str(Path(__file__).parent.parent / _room))
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 import test_drains_processes as trial
 import test_release_processes as releases
--- a/burlmast/cli.py
+++ b/burlmast/cli.py
@@ -17,7 +17,7 @@
 
 import burlmast.commands.drain  # noqa: F401  its commands join `fleet`
 from burlmast.commands.fleet import desk, fleet
-from burlmast.commands.release import plan_of, release
+from burlmast.commands.release import plan_of, release, with_names
 from burlmast.commands.shared import PLACE, say, settings, until_interrupted
 from burlmast.settings.read import BadSettings, evaluate
 from burlmast.settings.sheets import Deployment
@@ -60,7 +60,7 @@
     from burlmast.release.read import is_plan
 
     try:
-        read = plan_of(file) if is_plan(file) else settings(file)
+        read: Any = settings(file) if not is_plan(file) else with_names(plan_of(file))
     except BadSettings as why:
         click.echo(str(why), err=True)
         raise SystemExit(2) from None
--- a/burlmast/commands/release.py
+++ b/burlmast/commands/release.py
@@ -14,12 +14,13 @@
 from burlmast.commands.fleet import DESKS, ask, book_of, call, first, statuses
 from burlmast.commands.shared import say
 from burlmast.fleet.orders import Book
+from burlmast.fleet.stamp import digest
 from burlmast.fleet.words import Said, Status
 from burlmast.http1.client import Address, Pool
 from burlmast.release import steps
 from burlmast.release.plan import Plan, groups
 from burlmast.release.steps import Release
-from burlmast.settings.read import BadSettings
+from burlmast.settings.read import BadSettings, parse
 
 
 @click.group()
@@ -38,6 +39,13 @@
         raise SystemExit(2) from None
 
 
+def with_names(plan: Plan) -> Plan:
+    """A plan with the name of its settings in place of their text, for people."""
+    if not plan.settings:
+        return plan
+    return msgspec.structs.replace(plan, settings=digest(parse(plan.settings)))
+
+
 @release.command()
 @click.argument("file", type=click.Path())
 @DESKS
