A desk that has just started doubts itself; a supervisor of tests writes its pids whole

Cause, under a dozen fleets at once on eight cores: a desk that led at once after its start had heard nobody, took the whole fleet for silent and halted a release; a restart script read half a file of pids. A desk doubts itself for half of the time for which a gateway may be silent.

--- a/burlmast/badday/desks.py
+++ b/burlmast/badday/desks.py
@@ -134,6 +134,6 @@
 
 
 def free_port() -> int:
-    """A port that nobody listens on now, that no connection is given by itself, and that no other process of
-    ours takes meanwhile: who listens there again after a restart must find it free."""
+    """A port that nobody listens on now, that no connection is given by itself, and that no other process
+    takes meanwhile: who listens there again after a restart must find it free."""
     return ports().free()
--- a/burlmast/fleet/keeper_shell.py
+++ b/burlmast/fleet/keeper_shell.py
@@ -70,7 +70,9 @@
         self.desk, self.more, self._streams, self._tell_list = desk, more, streams, tell_list
         self._beat = int(desk.beat_s * 1e9)
         self.leading = Leading(desk.number, self._beat, PATIENCE * self._beat)
-        self._looked, self._doubts = desk.clocks.steady(), 0  # it doubts itself until then
+        # A desk that has just started has heard nobody yet: it doubts itself until then.
+        self._looked = desk.clocks.steady()
+        self._doubts = self._looked + desk.sight.silent // 2
         self.waits: dict[int, str] = {}
         self._since: dict[
             tuple[int, str, int, str], int
--- a/tests/test_release_processes.py
+++ b/tests/test_release_processes.py
@@ -364,7 +364,8 @@
     """Starts gateways again that have ended, as a supervisor does."""
     while True:
         pids = {str(n): one.process.pid for n, one in enumerate(here.gateways) if one.process is not None}
-        (here.folder / "pids.json").write_bytes(msgspec.json.encode(pids))
+        (here.folder / "pids.new").write_bytes(msgspec.json.encode(pids))
+        (here.folder / "pids.new").rename(here.folder / "pids.json")
         for one in here.gateways:
             if one.process is not None and one.process.returncode is not None:
                 await one.start()
