--- a/burlmast/badday/desks.py
+++ b/burlmast/badday/desks.py
@@ -107,7 +107,7 @@
 
 
 class Ports:
-    """This process's share of ports: the first one of it is held, so that no other process takes the share."""
+    """The share of this process: its first port is held, so that no other process takes the share."""
 
     def __init__(self) -> None:
         for place in range(SHARES):
