Tests of releases leave no process behind; the test of mixing waits for its traffic

Cause of two red checks: a supervisor in a test was not ended where an assertion failed, started gateways again that the test had ended, and these spoke to desks of later tests, which then began with their book. The test of versions that must not mix wanted 50 set-ups of however fast the machine was (45 seen); it waits for 60.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -137,6 +137,11 @@
 
             await here.until(serves_again)
             await here.desks[2].start()
+
+            async def enough() -> bool:
+                return len(here.came()) > 60
+
+            await here.until(enough)
             await traffic.stop()
             for one in here.gateways:
                 await one.end()
--- a/tests/test_release_processes.py
+++ b/tests/test_release_processes.py
@@ -382,11 +382,13 @@
             command = [sys.executable, str(script), str(here.folder), "{gateway}"]
             supervisor = asyncio.create_task(keeper(here))
             watch = Watch(here)
-            lives = [(await here.own(n))["life"] for n in range(4)]
-            words = {"command": command, "command_back": command, "plays_s": 0.5, "late": "cut"}
-            await started(here, plan(here, **words))
-            over = await until_state(here, "done", "halted", "given up", within=60.0)
-            supervisor.cancel()
+            try:
+                lives = [(await here.own(n))["life"] for n in range(4)]
+                words = {"command": command, "command_back": command, "plays_s": 0.5, "late": "cut"}
+                await started(here, plan(here, **words))
+                over = await until_state(here, "done", "halted", "given up", within=60.0)
+            finally:
+                supervisor.cancel()  # or it would start gateways again that the test ends
             await watch.stop()
             if fails:
                 assert over.state == "halted"
