Old disks of desks, two operators, a zone by name; a release halts where too many are out

Need: a majority of desks put back to earlier disks must grant nothing beside what is out, and two operators at two desks share one limit: both are shown as processes, since gateways know more than those disks and tell. A release of settings, too, begins no further step where more gateways are out than may be; before, only a build's did. What follows from what is seen, and going back wave by wave, each to what it had, are tested without sockets.

--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -133,7 +133,7 @@
         return "harm", facts.harm
     if facts.halted_drain:
         return "lags", facts.halted_drain
-    if facts.too_many and release.state in ("canary", "wave") and plan.command:
+    if facts.too_many and release.state in ("canary", "wave"):
         return "too many out", facts.too_many
     if release.state in ("canary", "wave"):
         missing = [n for n in group if n not in facts.on_it]
--- a/tests/test_drains_processes.py
+++ b/tests/test_drains_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import shutil
 import signal
 import sys
 import time
@@ -424,3 +425,60 @@
             assert not verdict.broken, verdict.broken
 
     asyncio.run(run())
+
+
+def test_desks_that_are_put_back_to_old_disks_grant_nothing_beside_what_is_out(tmp_path: Path) -> None:
+    """Two of three desks lose what they took since, and are a majority by themselves; gateways know more."""
+
+    async def run() -> None:
+        async with works(tmp_path, limited(fleet_of(3, hosts=12), plays_ms=300.0), 3) as here:
+            for number in (0, 1):
+                await here.desks[number].kill()
+                shutil.copytree(tmp_path / f"desk-{number}", tmp_path / f"old-{number}")
+                await here.desks[number].start()
+            await here.operate("drain", "gateway", "0")
+            await here.until(lambda: are(here, "out", "in", "in"))
+            await here.acquainted()
+            await asyncio.gather(*(one.kill() for one in here.desks))
+            for number in (0, 1):
+                shutil.rmtree(tmp_path / f"desk-{number}")
+                shutil.move(tmp_path / f"old-{number}", tmp_path / f"desk-{number}")
+            await asyncio.gather(*(here.desks[number].start() for number in (0, 1)))
+
+            async def asked() -> bool:
+                return (await here.operate("drain", "gateway", "1"))[0] == 0
+
+            await here.until(asked)
+            await until_told(here, "gateway 1: 1 gateways of the fleet may be out: out are 0 (")
+            assert await ways(here) == ["out", "in", "in"]
+            await here.desks[2].start()
+            await until_told(
+                here, "gateway 0  out under leave", "gateway 1: 1 gateways of the fleet may be out"
+            )
+
+    asyncio.run(run())
+
+
+def test_two_operators_at_two_desks_and_a_zone_by_its_name(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with works(tmp_path, limited(fleet_of(4, hosts=12), plays_ms=300.0), 3) as here:
+            watch = Watch(here)
+            words = ("--then", "back", "--late", "cut")
+            both = await asyncio.gather(
+                here.operate_at(0, "drain", "gateway", "0", "1", *words),
+                here.operate_at(1, "drain", "zone", "room-b", "--of", "gateways", *words),
+            )
+            assert [code for code, _ in both] == [0, 0], both
+            assert '"subjects":[1,3]' in both[1][1], both[1]
+            code, told = await here.operate("drain", "zone", "cellar")
+            assert code == 1 and "there is no zone 'cellar'; there are room-a, room-b" in told, told
+
+            async def over() -> bool:
+                return [one.state for one in await drains(here)] == ["over", "over"]
+
+            await here.until(over)
+            await watch.stop()
+            out = gateways_out(watch.seen)
+            assert {one.who for one in out} == {0, 1, 3} and most(out).number == 1
+
+    asyncio.run(run())
--- a/tests/test_release_explored.py
+++ b/tests/test_release_explored.py
@@ -180,3 +180,61 @@
             known = (steps.all_of(book)[0].state, word) in steps.TABLE
             assert (after is book) or known
             book = after
+
+
+ALL = frozenset(range(4))
+
+
+def out_to(state: str, step: int = 1, **plan: object) -> Release:
+    words = {"settings": "new", "canary": (0,), "waves": (0.5, 1.0)} | plan
+    release = Release(1, "r", Plan("p", **words), "new", state=state, step=step)  # type: ignore[arg-type]
+    return msgspec.structs.replace(release, touched=(0, 1), back=((0, 1),) if state == "going back" else ())
+
+
+@pytest.mark.parametrize(
+    ("release", "facts", "what", "why"),
+    [
+        (out_to("wave"), Facts(frozenset((0, 1, 2)), frozenset(), ALL), "all on it", "2 gateways"),
+        (out_to("wave"), Facts(frozenset((0, 1)), frozenset(), ALL), "", ""),
+        (out_to("wave"), Facts(frozenset((0, 1)), frozenset(), ALL, overdue=True), "lags", "gateway 2 does"),
+        (
+            out_to("wave"),
+            Facts(frozenset((0, 1)), frozenset(), ALL, left={2: "full"}),
+            "lags",
+            "gateway 2 (full) does not act on it",
+        ),
+        (
+            out_to("wave", may_lag=1),
+            Facts(frozenset((0, 1)), frozenset(), ALL, overdue=True),
+            "all on it",
+            "and may lag",
+        ),
+        (out_to("watching"), Facts(ALL, ALL, frozenset((3,))), "blind", "1 of 4 gateways are heard"),
+        (out_to("wave"), Facts(ALL, ALL, ALL, too_many="5 are out"), "too many out", "5 are out"),
+        (out_to("watching"), Facts(ALL, ALL, ALL, starved=True), "starved", "too few requests"),
+        (out_to("watching"), Facts(ALL, ALL, ALL, harm="worse", watched=True), "harm", "worse"),
+        (out_to("watching"), Facts(ALL, ALL, ALL, watched=True), "well", "nothing is known"),
+        (out_to("watching", 2), Facts(ALL, ALL, ALL, watched=True), "well, and the last", ""),
+        (out_to("halted"), Facts(ALL, ALL, ALL, harm="worse"), "", ""),
+        (out_to("going back"), Facts(ALL, frozenset((0,)), ALL, overdue=True), "lags", "gateway 1 has not"),
+        (out_to("going back"), Facts(ALL, frozenset((0, 1)), ALL), "all back", ""),
+    ],
+)
+def test_what_follows_from_what_is_seen(release: Release, facts: Facts, what: str, why: str) -> None:
+    found, told = what_follows(release, facts, 4)
+    assert found == what and why in told, told
+
+
+def test_it_goes_back_wave_by_wave_the_last_first_each_to_what_it_had() -> None:
+    book = orders.give(Book("f", 4), orders.Order(0, "x", "other", 0.0, part=(2,)))
+    plan = Plan("p", settings="new", canary=(0,), waves=(0.5, 1.0), back="waves")
+    book = steps.start(book, Release(0, "r", plan, "new"))
+    number = steps.all_of(book)[0].number
+    for what in ("go", "all on it", "well", "all on it", "operator goes back"):
+        book = take(book, number, what, SAY)
+    assert steps.all_of(book)[0].back == ((1, 2), (0,)), "the wave that has begun, then the canary"
+    assert [_settings(book, _wanted(book, n)) for n in range(4)] == ["new", "", "other", ""]
+    book = take(book, number, "group back", SAY)
+    assert [_settings(book, _wanted(book, n)) for n in range(4)] == ["", "", "other", ""]
+    book = take(book, number, "all back", SAY)
+    assert steps.all_of(book)[0].state == "given up" and not book.held
