A desk's answer names eight others, not the whole fleet

Cause: each answer of a desk to a gateway named every gateway that it had lately heard: 308 bytes with 3, 17,275 with 400, to each gateway and beat, though what is sent to a member must not grow with their number (the model had counted the words of members, not of desks). Eight are named now, others with each answer, all of 400 within 50.

--- a/burlmast/fleet/desk_shell.py
+++ b/burlmast/fleet/desk_shell.py
@@ -19,7 +19,7 @@
 from burlmast.fleet import going, orders, register
 from burlmast.fleet.clock_shell import Clocks
 from burlmast.fleet.desk_store import DeskStore
-from burlmast.fleet.lease import DeskLeases
+from burlmast.fleet.lease import Ask, DeskLeases
 from burlmast.fleet.members import Members
 from burlmast.fleet.members_shell import Mingling
 from burlmast.fleet.orders import Book, Refused
@@ -48,6 +48,7 @@
 BODY = 8 << 20
 FORGOTTEN = 3600 * 1_000_000_000  # nanoseconds after which a life that is not heard is shown no more
 BEATS_HEARD = 3  # that a desk alone on a blank disk listens for gateways that know a book
+PEERS = 8  # gateways that an answer names
 TRIES = 12  # rounds of one change before it is given up
 Words = TypeVar("Words")
 
@@ -235,7 +236,7 @@
             going.lets(taken.outs, ask.gateway, hello.away.disk, hello.wants[1]),
         )
         token = self.sight.token(now)
-        exchange.json(200, Welcome(given, book, have, self._peers(now), lets, token))
+        exchange.json(200, Welcome(given, book, have, self._peers(now, ask), lets, token))
 
     @property
     def accepted(self) -> Book:
@@ -245,13 +246,19 @@
             self._accepted = self.kept.value, orders.read_book(self.kept.value)
         return self._accepted[1]
 
-    def _peers(self, now: int) -> tuple[tuple[int, str, str], ...]:
+    def _peers(self, now: int, ask: Ask) -> tuple[tuple[int, str, str], ...]:
+        """Others that a gateway may not know, a few an answer and others with each, so that what is sent does
+        not grow with the fleet."""
         lately = now - int(10 * self.beat_s * 1e9)
-        return tuple(
+        there = [
             (number, life, hello.operators)
             for (number, life), (at, hello) in sorted(self.members.items())
             if at >= lately and hello.operators
-        )
+        ]
+        if len(there) <= PEERS:
+            return tuple(there)
+        first = (ask.count * PEERS + ask.gateway) % len(there)
+        return tuple((there + there)[first : first + PEERS])
 
     def _prepare(self, exchange: Exchange, body: bytes) -> None:
         words: Prepare = msgspec.json.decode(body, type=Prepare)
--- a/tests/test_outs_core.py
+++ b/tests/test_outs_core.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from burlmast.fleet.desk_shell import Desk
 from burlmast.fleet.going import TABLE, Consent, Going, Traveller
 from burlmast.fleet.leading import Lead, Leading, holds, taken
 from burlmast.fleet.lease import Ask
@@ -225,3 +229,11 @@
     listed = {1: {"ready", "draining"}, 2: {"draining"}, 3: {"gone"}}
     assert to_be_told(leaves, listed) == {1: "draining", 2: "ready"}
     assert to_be_told(leaves, {1: {"draining"}, 2: {"ready"}, 3: {"gone"}}) == {}
+
+
+def test_a_desk_s_answer_names_few_others_and_all_of_them_in_time() -> None:
+    members = {(n, "a"): (0, hello(n, 1, ("", 0))) for n in range(400)}
+    desk: Any = SimpleNamespace(beat_s=1.0, members=members)
+    told = [Desk._peers(desk, 0, hello(7, count, ("", 0)).ask) for count in range(1, 51)]
+    assert {len(one) for one in told} == {8}
+    assert {number for one in told for number, _, _ in one} == set(range(400))
