What is resumed has its time again: playbacks at a host, and restarts of a release

Cause, found by reading it again: a drain of hosts that had halted because playbacks were left kept its old time, so 'resume' halted it again at once; a resumed release did not begin a restart anew that was not known to have run, and halted for it again. The time goes by the standing of the drain now, and a release resumes its drains as an operator's word does. Both tests were seen to fail without the change; 41 tests of the cores pass.

--- a/burlmast/fleet/keeper_shell.py
+++ b/burlmast/fleet/keeper_shell.py
@@ -149,7 +149,11 @@
     def mark(self, book: Book) -> list[int]:
         """Take down since when this desk leads with each leave; the hosts under leave."""
         now, leaves = self.desk.clocks.steady(), book.outs.leaves
-        held = {(one.number, one.kind, one.subject, ran) for one in leaves for ran in {"", one.ran}}
+        held = {
+            (one.number, one.kind, one.subject, what)
+            for one in leaves
+            for what in (_plays(book, one), f"ran {one.ran}")
+        }
         self._since = {key: self._since.get(key, now) for key in held}
         return sorted(one.subject for one in leaves if one.kind == HOST)
 
@@ -189,12 +193,14 @@
         for one in terms[1:]:
             limits = limits.strictest(self._limits(one))
         hosts = [one for one in book.outs.leaves if one.kind == HOST]
-        overdue = frozenset(one.subject for one in hosts if self._since_was(now, one, "", one.plays_ms))
+        overdue = frozenset(
+            one.subject for one in hosts if self._since_was(now, one, _plays(book, one), one.plays_ms)
+        )
         restart = terms[0].edge.fleet.out.restart_ms
         stalled = frozenset(
             (one.kind, one.subject)
             for one in book.outs.leaves
-            if one.ran and self._since_was(now, one, one.ran, restart)
+            if one.ran and self._since_was(now, one, f"ran {one.ran}", restart)
         )
         gone = desk.mingling.states() if desk.mingling is not None else {}
         view = desk.sight.view(now, desk.clocks.wall(), ground_of(terms[0]), book.outs, gone, overdue)
@@ -388,6 +394,12 @@
     return put(book, outs=outs)
 
 
+def _plays(book: Book, leave: Leave) -> str:
+    """In which standing of its drain what plays at a holder goes on: it begins anew when that is resumed."""
+    drain = book.outs.drain(leave.drain)
+    return f"plays {drain.state if drain is not None else ''}"
+
+
 def limits_of(found: Deployment) -> Limits:
     """How many may be out, as settings say."""
     terms = found.edge.fleet.out
--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -310,7 +310,7 @@
     for number in release.drains:
         drain = out.drain(number)
         if drain is not None and drain.state == "halted" and not release.over:
-            out = outs.change(out, number, state="going", why="")
+            out = outs.resumed(out, number)
     return put(book, held=held, outs=out), release
 
 
--- a/tests/test_outs_core.py
+++ b/tests/test_outs_core.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -9,11 +10,14 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from town import sample
 
 from burlmast.fleet.desk_shell import Desk
 from burlmast.fleet.going import TABLE, Consent, Going, Traveller
+from burlmast.fleet.keeper_shell import Keeper
 from burlmast.fleet.leading import Lead, Leading, holds, taken
 from burlmast.fleet.lease import Ask
+from burlmast.fleet.orders import Book
 from burlmast.fleet.outs import (
     Drain,
     GatewaySeen,
@@ -23,12 +27,17 @@
     Outs,
     View,
     advance,
+    change,
     refusals,
     to_be_told,
+    to_restart,
 )
 from burlmast.fleet.sight import Ground, Sight
 from burlmast.fleet.stamp import Stamp
 from burlmast.fleet.words import Away, Hello, Inventory, ListedHost
+from burlmast.release import steps
+from burlmast.release.plan import Plan
+from burlmast.release.steps import Release
 
 GROUND = Ground(4, 2, 6, 3, 100.0, False, 250.0, (("t", 0, 2),), 1000)
 
@@ -237,3 +246,45 @@
     told = [Desk._peers(desk, 0, hello(7, count, ("", 0)).ask) for count in range(1, 51)]
     assert {len(one) for one in told} == {8}
     assert {number for one in told for number, _, _ in one} == set(range(400))
+
+
+def keeper_of(clock: Callable[[], int]) -> Keeper:
+    """A desk's part, without a desk."""
+    deployment = sample()
+    clocks = SimpleNamespace(steady=clock, wall=clock)
+    store, sight = SimpleNamespace(settings=lambda name: None), Sight("me", 8_000_000_000)
+    desk: Any = SimpleNamespace(
+        number=0, beat_s=1.0, clocks=clocks, sight=sight, store=store, mingling=None, deployment=deployment
+    )
+    return Keeper(desk, lambda headers: None)
+
+
+def test_what_plays_at_a_host_has_its_time_again_once_the_drain_is_resumed() -> None:
+    now = 0
+    keeper = keeper_of(lambda: now)
+    drain = Drain(1, "r", "host", (7,), 1000.0)
+    book = Book("f", 3, outs=Outs((Leave(1, 1, "host", 7, plays_ms=1000.0),), (drain,)))
+    assert keeper.mark(book) == [7] and not keeper.view(book)[0].overdue
+    now = 1_000_000_000
+    assert keeper.view(book)[0].overdue == {7}
+    halted = msgspec.structs.replace(book, outs=change(book.outs, 1, state="halted"))
+    keeper.mark(halted)
+    now = 1_500_000_000
+    keeper.mark(book)
+    assert not keeper.view(book)[0].overdue
+    now = 2_500_000_000
+    assert keeper.view(book)[0].overdue == {7}
+
+
+def test_a_resumed_release_begins_a_restart_again_that_was_not_known_to_have_run() -> None:
+    plan = Plan("p", command=("x", "{gateway}"))
+    book = steps.start(Book("f", 3), Release(0, "r", plan))
+    number, say = steps.all_of(book)[0].number, steps.Say("", 0, 0)
+    book = steps.take(book, number, "go", say)
+    drain = book.outs.drains[0]
+    leave = Leave(9, drain.number, "gateway", 0, "d", then="restart", out=True, ran="2, term 1")
+    book = msgspec.structs.replace(book, outs=msgspec.structs.replace(book.outs, leaves=(leave,)))
+    book = steps.take(book, number, "lags", say)
+    assert not to_restart(book.outs) and book.outs.drains[0].state == "halted"
+    book = steps.take(book, number, "operator resumes", say)
+    assert [one.subject for one, _ in to_restart(book.outs)] == [0]
