A release waits until the fleet is in sight before it begins

Cause, under three test runs side by side: a release that was started before the desk in the lead had heard half of the gateways began its canary and halted as blind in the next look.

--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -120,12 +120,13 @@
         return "back by the plan", release.why
     if release.state == "halted" or release.over:
         return "", ""
+    blind = len(facts.known) < plan.sight * gateways
     if release.state == "planned":
-        return "go", "begins"
-    if len(facts.known) < plan.sight * gateways:
+        return ("", "") if blind else ("go", "begins")  # it waits until the fleet is in sight
+    if blind:
         return (
             "blind",
-            f"{len(facts.known)} of {gateways} gateways are heard, and it wants {plan.sight:.2f} of them",
+            f"{len(facts.known)} of {gateways} gateways are heard; {plan.sight:.2f} of them must be",
         )
     if release.state == "going back":
         return _goes_back(release, facts, group)
--- a/tests/test_release_explored.py
+++ b/tests/test_release_explored.py
@@ -210,6 +210,8 @@
             "and may lag",
         ),
         (out_to("watching"), Facts(ALL, ALL, frozenset((3,))), "blind", "1 of 4 gateways are heard"),
+        (out_to("planned"), Facts(ALL, ALL, frozenset((3,))), "", ""),
+        (out_to("planned"), Facts(ALL, ALL, ALL), "go", ""),
         (out_to("wave"), Facts(ALL, ALL, ALL, too_many="5 are out"), "too many out", "5 are out"),
         (out_to("watching"), Facts(ALL, ALL, ALL, starved=True), "starved", "too few requests"),
         (out_to("watching"), Facts(ALL, ALL, ALL, harm="worse", watched=True), "harm", "worse"),
