--- a/burlmast/fleet/ledger_shell.py
+++ b/burlmast/fleet/ledger_shell.py
@@ -22,8 +22,7 @@
 CREATE TABLE IF NOT EXISTS row (life TEXT NOT NULL, n INTEGER NOT NULL, body BLOB NOT NULL,
     PRIMARY KEY (life, n)) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS life (life TEXT PRIMARY KEY, place INTEGER NOT NULL);
-CREATE TABLE IF NOT EXISTS placed (id INTEGER PRIMARY KEY, playback TEXT NOT NULL, body BLOB NOT NULL);
-CREATE INDEX IF NOT EXISTS placed_playback ON placed (playback);
+CREATE TABLE IF NOT EXISTS lot (upto INTEGER PRIMARY KEY, body BLOB NOT NULL);
 CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, body BLOB NOT NULL);
 """
 LIVES = 16  # earlier lives that desks are still told of
@@ -89,13 +88,12 @@
                     "INSERT OR IGNORE INTO row VALUES (?, ?, ?)",
                     (row.life, row.n, msgspec.msgpack.encode(row)),
                 )
-            self.base.executemany(
-                "INSERT INTO placed VALUES (NULL, ?, ?)",
-                [(one.playback, msgspec.msgpack.encode(one)) for one in placed],
-            )
-            self.base.execute(
-                "DELETE FROM placed WHERE id <= (SELECT COALESCE(MAX(id), 0) FROM placed) - ?", (most_placed,)
-            )
+            if placed:
+                # One row a write, not an insert and an index a playback; who asks for one reads them all.
+                newest = "SELECT COALESCE(MAX(upto), 0) FROM lot"
+                upto = self.base.execute(newest).fetchone()[0] + len(placed)
+                self.base.execute("INSERT INTO lot VALUES (?, ?)", (upto, msgspec.msgpack.encode(placed)))
+                self.base.execute("DELETE FROM lot WHERE upto <= ?", (upto - most_placed,))
             self.base.execute("COMMIT")
         except BaseException:
             roll_back(self.base)
@@ -103,8 +101,13 @@
 
     def placed(self, playback: str) -> list[Placed]:
         """What is known of a playback, oldest first."""
-        found = self.base.execute("SELECT body FROM placed WHERE playback = ? ORDER BY id", (playback,))
-        return [msgspec.msgpack.decode(body, type=Placed) for (body,) in found.fetchall()]
+        found: list[Placed] = []
+        named = playback.encode("utf-8")
+        for (body,) in self.base.execute("SELECT body FROM lot ORDER BY upto"):
+            if named in body:
+                lot: list[Placed] = msgspec.msgpack.decode(body, type=list[Placed])
+                found += [one for one in lot if one.playback == playback]
+        return found
 
     def keep(self, name: str, body: bytes) -> None:
         """Keep a named value; on return it is on the disk."""
