A gateway that is only suspected halts no release; a watch begins by its own effect

Cause, on a machine under load: with two gateways out under leave, where two may be, a third that one probe had missed ('held suspect') halted a sound build as too many out. Suspicion keeps others from going, as before; only who is surely lost halts. Found by the process test of builds with six workers. Read again: clearing the evidence of an earlier watch and passing over a second 'back' were special cases in the step; the first is the effect of watching, the second no row of the table.

--- a/burlmast/fleet/outs.py
+++ b/burlmast/fleet/outs.py
@@ -116,6 +116,7 @@
     finished: int = 0  # it will never go again on leaves up to this number
     was_out: int = 0  # the last leave on which it has been out
     revision: int = 0  # of the book that it knows
+    doubted: bool = False  # it is only suspected: nobody goes beside it, and nothing is halted for it
 
 
 class HostSeen(NamedTuple):
--- a/burlmast/fleet/sight.py
+++ b/burlmast/fleet/sight.py
@@ -143,7 +143,17 @@
         elif away.state != "in":
             why = away.state
         state = away.state if self.fresh(now, number) else "silent"
-        return GatewaySeen(away.zone, away.disk, not why, why, state, away.finished, away.was_out, hello.book)
+        return GatewaySeen(
+            away.zone,
+            away.disk,
+            not why,
+            why,
+            state,
+            away.finished,
+            away.was_out,
+            hello.book,
+            why == "held suspect",
+        )
 
     def _hosts(self, now: int, wall: int, ground: Ground, lists: set[str]) -> dict[int, HostSeen]:
         rows: dict[int, ListedHost] = {}
--- a/burlmast/release/shell.py
+++ b/burlmast/release/shell.py
@@ -197,7 +197,8 @@
         watch = plan.watch
         least = watch.canary_s if release.step == 0 else watch.wave_s
         enough = watching.seen(evidence) >= watch.least
-        out = out_now(book, view, GATEWAY)
+        held = {one.subject for one in book.outs.leaves if one.kind == GATEWAY}
+        out = [n for n in out_now(book, view, GATEWAY) if n in held or not view.gateways[n].doubted]
         drains = [book.outs.drain(number) for number in release.drains]
         halted = [one.why for one in drains if one is not None and one.state == "halted"]
         mine = evidence.release == release.number
--- a/burlmast/release/steps.py
+++ b/burlmast/release/steps.py
@@ -104,7 +104,7 @@
     ("halted", "operator resumes"): ("", "let go"),  # to where it was
     **{
         (state, "operator goes back"): ("going back", "put back")
-        for state in ("planned", "canary", "watching", "wave", "halted", "done", "going back")
+        for state in ("planned", "canary", "watching", "wave", "halted", "done")
     },
     ("halted", "back by the plan"): ("going back", "put back"),
     ("going back", "group back"): ("going back", "put the next back"),
@@ -190,8 +190,6 @@
     if release is None or row is None:
         return book
     state, effect = row
-    if happening == "operator goes back" and release.state == "going back":
-        return book
     halts = state == "halted" and release.state != "halted"
     after = msgspec.structs.replace(
         release,
@@ -206,8 +204,7 @@
     after = msgspec.structs.replace(
         after, log=(*after.log, Logged(after.state, say.why, say.wall, say.desk))[-LOGGED:]
     )
-    evidence = book.evidence if effect != "watch" else {}
-    return put(keep(book, after), evidence=evidence)
+    return put(keep(book, after))
 
 
 def find(book: Book, number: int) -> Release | None:
@@ -372,7 +369,8 @@
 
 
 def _watch(book: Book, release: Release) -> tuple[Book, Release]:
-    return book, release
+    """What an earlier watch has seen is not held against this step."""
+    return msgspec.structs.replace(book, evidence={}), release
 
 
 EFFECTS: dict[str, Callable[[Book, Release], tuple[Book, Any]]] = {
--- a/tests/test_outs_core.py
+++ b/tests/test_outs_core.py
@@ -210,6 +210,7 @@
     sight.hear(0, hello(0, 1, ("me", 0), **away))
     view = sight.view(50, 0, GROUND, Outs(), gone)
     assert (view.gateways[0].why, view.gateways[0].well) == (why, not why)
+    assert view.gateways[0].doubted == (why == "held suspect"), "who is only suspected halts nothing"
     assert [view.gateways[n].why for n in (1, 2, 3)] == ["not heard"] * 3
     assert view.blind, "its list is not known here"
     assert sight.lacks(50) == {"list": "127.0.0.1:1"}
