--- a/burlmast/node/configuration.py
+++ b/burlmast/node/configuration.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 from burlmast import api
+from burlmast.node.descriptors import Parts, allowed, parts
 from burlmast.node.names import Entry, Unsound, read_event, split
 from burlmast.wirehost import settings
 
@@ -18,13 +19,6 @@
     """The variables or the file cannot be used; the text says where."""
 
 
-class Parts(NamedTuple):
-    """The descriptors that each side may hold."""
-
-    viewers: int
-    hosts: int
-
-
 class Configuration(NamedTuple):
     """All that the platform tells a gateway. Times in nanoseconds."""
 
@@ -42,17 +36,10 @@
     abandon_times: tuple[int, ...]
     report: dict[str, str]
     connect: int
+    idle: int  # after so long without a word a host closes a connection; 0: it does not
     streams: int
 
 
-def parts(sockets: int) -> Parts:
-    """How the descriptors are shared out.
-
-    Viewers hold a third of them by the platform's word; the door has room above that, so that those who only
-    hold connections push nobody out."""
-    return Parts(viewers=sockets // 2, hosts=sockets // 3)
-
-
 def read(path: Path) -> Configuration:
     """What a file tells. Raises BadConfiguration."""
     try:
@@ -70,14 +57,14 @@
 def _read(data: Any) -> Configuration:
     told = data["settings"]
     terms, fields = settings.read(json.dumps(told).encode())
-    allowed, listed, known = told["allowed"], told["requestClasses"], data["known"]
+    limits, listed, known = told["allowed"], told["requestClasses"], data["known"]
     names = told["report"].get("fields", ())
     return Configuration(
         name=str(data["name"]),
         listen=split(data["listen"], 0),
         resolver=split(data["resolver"]),
         seed=int(str(data["seed"]), 16),
-        parts=parts(int(data["limits"]["sockets"])),
+        parts=parts(allowed(int(data["limits"]["sockets"]))),
         serial=int(known["rev"]),
         events=[read_event(notice) for notice in known["notices"]],
         terms=terms,
@@ -86,8 +73,9 @@
         plans={plan["name"]: place for place, plan in enumerate(listed)},
         abandon_times=tuple(round(plan["hardLimitMs"] * MS) for plan in listed),
         report={name: field for name, field in zip(names, fields, strict=True) if field},
-        connect=round(allowed["connectTimeoutMs"] * MS),
-        streams=max(1, int(allowed["streamsPerConn"])),
+        connect=round(limits["connectTimeoutMs"] * MS),
+        idle=round(limits.get("idleCloseMs", 0.0) * MS),
+        streams=max(1, int(limits["streamsPerConn"])),
     )
 
 
--- a/burlmast/node/door.py
+++ b/burlmast/node/door.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import Counter, deque
 from collections.abc import Callable
 from math import isfinite
@@ -12,6 +13,7 @@
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
 from burlmast.node import lines
 from burlmast.node.configuration import Configuration
+from burlmast.node.descriptors import BATCH
 from burlmast.node.hosts import Sent
 from burlmast.node.lines import Line, LineReader
 
@@ -23,6 +25,7 @@
 WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 HEX = frozenset("0123456789abcdef")
+ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 FREE = frozenset(("progress", "released", "note", "rate", "move", "pong"))  # they want no answer
 CAUSES = {"rejected": lines.REFUSED, "aborted": lines.FAILED, "cut": lines.FAILED}
 ENDS = {Ending.SERVED: lines.ENDED}
@@ -64,12 +67,23 @@
         self.asked = 0  # sound set-ups on it
         self.partial_since = 0
         self.said: deque[tuple[int, bytes]] = deque(maxlen=64)  # lately, of what stood
+        self.closing_since = 0
+        self._poll = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.door.came(self)
 
+    def waiting(self) -> tuple[bool, bool]:
+        """Whether the other side has closed, and whether something of it has not been read, by the socket."""
+        if not self.usable:
+            return True, False
+        found = self._poll.poll(0)
+        events = found[0][1] if found else 0
+        return bool(events & ENDED), bool(events & select.POLLIN)
+
     def get_buffer(self, sizehint: int) -> bytearray:
         return BUFFER
 
@@ -80,7 +94,7 @@
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
         self.partial_since = (self.partial_since or self.heard) if self.reader.partial else 0
         try:
-            for line in found:
+            for line in self._standing_by(found):
                 self.door.heard(self, line)
         except Exception as why:
             self.door.remark(f"a connection is closed: {type(why).__name__}: {why}")
@@ -89,17 +103,26 @@
             self.door.counts["unreadable"] += 1
             self.close()
 
+    def _standing_by(self, found: list[Line]) -> list[Line]:
+        """Without the set-ups that are given up by a later line of the same reading."""
+        if len(found) < 2:
+            return found
+        ends = {line.id: place for place, line in enumerate(found) if line.type == "release"}
+        kept = []
+        for place, line in enumerate(found):
+            if line.type == "setup" and ends.get(line.id, -1) > place and line.id not in self.door.known:
+                self.sound = True
+                self.door.counts["given up at once"] += 1
+            else:
+                kept.append(line)
+        return kept
+
     def eof_received(self) -> bool:
+        # Danger: the transport waits for what it has yet to write before it says that this one is gone.
+        self.door.abandoned(self)
+        self.closing_since = self.door.now()
         return False
 
-    def pause_writing(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
-
-    def resume_writing(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
     def connection_lost(self, exc: Exception | None) -> None:
         self.door.went(self)
 
@@ -135,6 +158,7 @@
             playback.reply = None
             self.door.leave(playback)
         if self.transport is not None:
+            self.closing_since = self.closing_since or self.door.now()
             self.transport.close()
 
 
@@ -153,38 +177,74 @@
         self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
         self.owed: deque[bytes] = deque(maxlen=told.parts.viewers)  # releases that found no connection
         self.counts: Counter[str] = Counter()
+        self.accepted = 0  # connections that the listener has taken and that are not here yet
+        self.freed: Callable[[], None] = lambda: None  # after a connection has gone
         self._loop = asyncio.get_running_loop()
         self._closed = False
         self.ready = False  # tests are passed from then on; what comes earlier is served all the same
 
     # Connections.
 
+    @property
+    def full(self) -> bool:
+        """Whether no connection may be accepted until one of those that are here is closed."""
+        return len(self.viewers) + self.accepted >= self._most + BATCH
+
     def came(self, viewer: Viewer) -> None:
         """A connection is there."""
         self.viewers[viewer] = None
-        if len(self.viewers) > self._most:
-            self.counts["closed for room"] += 1
-            idle = [one for one in self.viewers if not one.open]
-            min(idle, key=lambda one: (one.standing(self.now()), one.heard)).close()
+        if sum(1 for one in self.viewers if one.usable) > self._most:
+            self.make_room()
         while self.owed and viewer.usable and not self._closed:
             viewer.say(self.owed.popleft())
 
+    def make_room(self) -> None:
+        """Close the connection that is missed least, where nothing is asked on any such."""
+        idle = [one for one in self.viewers if not one.open and one.usable]
+        if idle:
+            self.counts["closed for room"] += 1
+            min(idle, key=lambda one: (one.standing(self.now()), one.heard)).close()
+
+    def abandoned(self, viewer: Viewer) -> None:
+        """The other side of a connection has closed it: what is asked on it is given up."""
+        for playback in list(viewer.open.values()):
+            playback.reply = None
+            self.leave(playback)
+        viewer.open.clear()
+
     def went(self, viewer: Viewer) -> None:
         """A connection is gone, and what was asked on it."""
         self.viewers.pop(viewer, None)
         for at, data in viewer.said:
             if self.now() - at < CROSSING and not self._closed:
                 self.say(data)
-        for playback in list(viewer.open.values()):
-            playback.reply = None
-            self.leave(playback)
+        self.abandoned(viewer)
+        self.freed()
+
+    def wanted(self, playback: Playback) -> bool:
+        """Whether the viewer is still there, by what its connection has in store; if not, it has left."""
+        viewer: Any = playback.reply
+        if isinstance(viewer, Viewer) and viewer.waiting()[0]:
+            self.counts["gone before a send"] += 1
+            self.abandoned(viewer)
+        return playback.state == "asked"
+
+    def unread(self, playback: Playback) -> bool:
+        """Whether its connection holds something that may be about it."""
+        viewer: Any = playback.reply
+        return isinstance(viewer, Viewer) and viewer.waiting()[1]
 
     def sweep(self) -> None:
         """Close those who have sent nothing sound for too long."""
         now = self.now()
         for viewer in list(self.viewers):
             half = viewer.partial_since and now - viewer.partial_since >= UNSOUND_FOR
-            if (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
+            if viewer.closing_since and now - viewer.closing_since >= UNSOUND_FOR:
+                # Danger: who reads nothing would keep its descriptor for good.
+                self.counts["closed at once"] += 1
+                assert viewer.transport is not None
+                viewer.transport.abort()
+            elif (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
                 self.counts["closed unsound"] += 1
                 viewer.close()
         if not self._closed:
@@ -260,6 +320,7 @@
 
     def _arrive(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent) -> None:
         if self.driver is None:
+            viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
         self._coming = Viewing(sent, viewer)
         playback = self.driver.arrive(self.now(), wanted, viewer, name)
@@ -329,6 +390,12 @@
         if not isinstance(viewer, Viewer):
             return
         viewer.open.pop(name, None)
+        if final.kind == "plays" and viewer.waiting()[0]:
+            # Danger: it would never hear that it plays, and nobody would end it at its host.
+            self.counts["gone before its answer"] += 1
+            playback.reply = None
+            self.leave(playback)
+            return
         if final.kind == "plays":
             flowing = [one for one in playback.tries if one.state == "flowing"]
             viewer.write(lines.answer(name, flowing[-1].handle.description))
--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -4,7 +4,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Coroutine
 from typing import NamedTuple, Protocol
 
 from burlmast import api
@@ -12,6 +13,7 @@
 from burlmast.edge.driver import Try
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
 from burlmast.node import frames
+from burlmast.node.descriptors import SHORTAGE
 from burlmast.node.frames import Frame, FrameReader
 from burlmast.node.names import Entry
 
@@ -20,6 +22,7 @@
 # A host that was silent for half of that is dialled; two failures in a row, and it is gone.
 SILENT = 4_000 * MS
 GONE_AFTER = 2
+CARRIED = 32  # set-ups on a connection after which a second answer to the first is no longer expected
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
 
@@ -36,6 +39,7 @@
     """What the socket side is told at start. Times in nanoseconds."""
 
     connect: int  # how long a connection may take to come up, and a test to be answered
+    idle: int  # how long nothing may pass on a connection before its host closes it; 0: for ever
     most: int  # connections to all hosts together
     streams: int  # set-ups on one connection at most
     report: dict[str, str]
@@ -56,6 +60,15 @@
     def probed(self, host: int, ending: Ending, took: int, load: api.Load) -> None:
         """See `Driver.probed`."""
 
+    def wanted(self, one: Try) -> bool:
+        """Whether its viewer is still there; False once the driver has been told that it is not."""
+
+    def unread(self, one: Try) -> bool:
+        """Whether its viewer has written what has not been read yet."""
+
+    def shortage(self) -> None:
+        """There was no descriptor for a connection."""
+
     def remark(self, text: str) -> None:
         """A line for the log."""
 
@@ -63,11 +76,13 @@
 class Call:
     """A set-up as it is at the host."""
 
-    __slots__ = ("description", "host", "link", "one", "sent", "session")
+    __slots__ = ("description", "host", "link", "one", "origin", "sent", "session", "stood", "written")
 
     def __init__(self, one: Try, host: MediaHost, sent: Sent) -> None:
         self.one, self.host, self.sent, self.session = one, host, sent, sent.session
         self.link: Link | None = None  # the connection that carries it while it is out
+        self.origin: Link | None = None  # the connection of its set-up
+        self.written = self.stood = False  # its set-up was written; it has been answered
         self.description = ""
 
 
@@ -89,12 +104,48 @@
         self.tests: dict[int, Test] = {}
         self.state = "coming"  # coming, open, leaving (nothing new), closed
         self.stuck_since = 0  # since when half a message is waited for
+        self.used = host.side.now()  # when something last passed on it
+        self.carried: deque[int] = deque(maxlen=CARRIED)  # playbacks whose set-ups it has carried lately
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def dial(self) -> None:
+        """Come up, or say why not."""
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: self, *self.host.address)
+        except OSError as why:
+            self.failed(why)
+
+    def failed(self, why: OSError | None) -> None:
+        """It did not come up; without a reason, in time."""
+        # Danger: time may run out between the coming up and the return of what dialled; one of them counts.
+        if self.state != "coming":
+            return
+        self.drop()
+        if why is not None and why.errno in SHORTAGE:
+            self.host.short_of_descriptors()
+        else:
+            self.host.unreachable(isinstance(why, ConnectionRefusedError))
+
+    def drop(self) -> None:
+        """It is waited for no longer."""
+        if self.state == "coming":
+            self.state = "closed"
+            self.host.coming.pop(self, None)
+            self.host.side.opened -= 1
+            if self.timer is not None:
+                self.timer.cancel()
+            if self.task is not None and self.task is not asyncio.current_task():
+                self.task.cancel()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         if self.state == "coming":
             self.state = "open"
+            self.used = self.host.side.now()
+            if self.timer is not None:
+                self.timer.cancel()
             self.host.came_up(self)
         else:
             transport.abort()
@@ -106,6 +157,7 @@
         if self.state == "closed":
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
+        self.used = self.host.side.now()
         self.stuck_since = self.host.side.now() if self.reader.partial else 0
         for one in found:
             self.host.heard_message(self, one)
@@ -121,6 +173,7 @@
 
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
+            self.used = self.host.side.now()
             self.transport.write(data)
 
     def close(self, why: str) -> None:
@@ -128,7 +181,7 @@
         if self.state == "closed":
             return
         self.state = "closed"
-        self.host.links.discard(self)
+        self.host.links.pop(self, None)
         if self.transport is not None:
             self.transport.abort() if why == "not understood" else self.transport.close()
         self.host.lost(self, why)
@@ -147,12 +200,12 @@
     def __init__(self, side: HostsSide, number: int, name: str, address: tuple[str, int]) -> None:
         self.side, self.number, self.name, self.address = side, number, name, address
         self.listed, self.draining = True, False
-        self.links: set[Link] = set()  # never walked where order shows
+        self.links: dict[Link, None] = {}
         self.calls: dict[int, Call] = {}
         self.waiting: list[Call] = []  # for a connection
         self.tests: list[tuple[int, int]] = []  # tests that wait for one, and since when
         self.backlog: list[bytes] = []  # messages on what stands that wait for one
-        self.coming = 0
+        self.coming: dict[Link, None] = {}  # connections that are waited for
         self.heard = side.now()
         self.failures = 0
 
@@ -161,41 +214,38 @@
     def open_links(self) -> list[Link]:
         return [link for link in self.links if link.state == "open"]
 
-    def choose(self) -> Link | None:
+    def fresh(self, link: Link, now: int) -> bool:
+        """Whether its host does not close it for being idle while something is on its way there."""
+        # Danger: a set-up that crosses such a close may have run, and an unsafe one is lost.
+        idle = self.side.wired.idle
+        return idle <= 0 or now - link.used < max(idle - self.side.wired.connect, idle // 2)
+
+    def choose(self, playback: int) -> Link | None:
         """A connection with nothing out on it, so that one spoilt answer costs one set-up.
 
-        Where there is no room for another, the one that carries least."""
-        links = self.open_links()
+        Where there is no room for another, the one that carries least. Never one that has carried an earlier
+        attempt of the playback, whose answer may come again."""
+        now = self.side.now()
+        links = [link for link in self.open_links() if playback not in link.carried and self.fresh(link, now)]
         free = [link for link in links if not link.out]
         if free:
-            return free[0]
+            return max(free, key=lambda link: link.used)
         if self.side.room() or not links:
             return None
         least = min(links, key=lambda link: len(link.out))
         return least if len(least.out) < self.side.wired.streams else None
 
     def dial(self) -> None:
-        if not self.listed:
-            return
-        self.coming += 1
-        self.side.opened += 1
-        self.side.keep(self._dial())
-
-    async def _dial(self) -> None:
-        link = Link(self)
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(self.side.wired.connect / 1e9):
-                await loop.create_connection(lambda: link, *self.address)
-        except (OSError, TimeoutError) as why:
-            link.state = "closed"
-            self.coming -= 1
-            self.side.opened -= 1
-            self.unreachable(isinstance(why, ConnectionRefusedError))
+        if self.listed:
+            link = Link(self)
+            self.coming[link] = None
+            self.side.opened += 1
+            link.timer = self.side.later(self.side.wired.connect, lambda: link.failed(None))
+            link.task = self.side.keep(link.dial())
 
     def came_up(self, link: Link) -> None:
-        self.coming -= 1
-        self.links.add(link)
+        self.coming.pop(link, None)
+        self.links[link] = None
         self.failures = 0
         self.heard = self.side.now()
         for data in self.backlog:
@@ -205,8 +255,57 @@
         for session, began in tests:
             self._test_on(link, session, began)
         # One set-up to a connection; those that came in the meantime have connections of their own coming.
-        while self.waiting and (not link.out or not self.coming):
+        while self.waiting and (not link.out or not self.coming) and link.state == "open":
+            call = self.waiting.pop(0)
+            if len(link.out) < self.side.wired.streams:
+                self.send(link, call)
+            else:
+                self.finish(call, BINARY_ENDINGS["not sent", None], api.Load())
+
+    def short_of_descriptors(self) -> None:
+        """No connection could be tried: that tells nothing of the host. It is tried again soon."""
+        self.side.ear.remark(f"host {self.name}: no descriptor for a connection")
+        self.side.ear.shortage()
+        tests, self.tests = self.tests, []
+        for _, began in tests:
+            self.side.ear.probed(self.number, Ending.MOOT, max(0, self.side.now() - began), api.Load())
+        if not self.coming:
+            self.side.later(self.side.wired.connect // 8, self.dial_again)
+
+    def dial_again(self) -> None:
+        """For what waits yet, or stands and has no connection."""
+        if self.coming or not (self.waiting or self.backlog or (self.stands() and not self.links)):
+            return
+        link = self.choose(self.waiting[0].one.playback.number) if self.waiting else None
+        if link is not None:
             self.send(link, self.waiting.pop(0))
+        elif self.side.room():
+            self.dial()
+
+    def turn_away(self) -> None:
+        """Nothing new may go to it: what was not sent goes elsewhere, and tests of one that is gone end."""
+        for call in [one for one in self.calls.values() if not one.written and not one.stood]:
+            self.finish(call, BINARY_ENDINGS["not sent", None], api.Load())
+        if self.listed:
+            return
+        tests, self.tests = self.tests, []
+        for _, began in tests:
+            took = max(0, self.side.now() - began)
+            self.side.ear.probed(self.number, Ending.NO_CONNECTION, took, api.Load())
+        for call in [one for one in self.calls.values() if not one.stood]:
+            if call.link is not None:
+                call.link.write(frames.release(call.session))
+            self.finish(call, Ending.BROKEN, api.Load())
+        self.keep_reachable()
+
+    def dismiss(self, why: str) -> None:
+        """The list has dropped it, or has it elsewhere: nothing is waited for at this address any more."""
+        self.listed = False
+        # Danger: the address may be another host's by now, and what comes up there would carry what waits.
+        for link in list(self.coming):
+            link.drop()
+        # Danger: a machine that goes for good says nothing, and its connections stay open.
+        self.cut(why)
 
     def unreachable(self, refused: bool) -> None:
         """No connection came up; where it was refused the process is dead, and what stood there with it."""
@@ -243,7 +342,7 @@
         ending = BINARY_ENDINGS.get((why, None), Ending.BROKEN)
         for call in out.values():
             call.link = None
-            self.finish(call, ending, api.Load())
+            self.finish(call, ending if call.written else BINARY_ENDINGS["not sent", None], api.Load())
         tests, link.tests = link.tests, {}
         for test in tests.values():
             test.timer.cancel()
@@ -273,7 +372,7 @@
 
     def take(self, call: Call) -> None:
         self.calls[call.session] = call
-        link = self.choose()
+        link = self.choose(call.one.playback.number)
         if link is not None:
             self.send(link, call)
         elif self.side.room() or self.coming:
@@ -284,18 +383,31 @@
             self.finish(call, BINARY_ENDINGS["not sent", None], api.Load())
 
     def send(self, link: Link, call: Call) -> None:
-        one = call.one
-        left = max(0, one.due - self.side.now()) // MS
-        _, plan, title, description = call.sent
-        call.link = link
+        """Send it there, once what its viewer has written by now has been read."""
+        call.link = call.origin = link
         link.out[call.session] = call
+        link.carried.append(call.one.playback.number)
+        if self.side.ear.unread(call.one):
+            self.side.after_reading(lambda: self.write(link, call))
+        else:
+            self.write(link, call)
+
+    def write(self, link: Link, call: Call) -> None:
+        one, now = call.one, self.side.now()
+        if call.link is not link or not self.side.ear.wanted(one):
+            return  # it has ended
+        if now >= one.due:
+            self.finish(call, BINARY_ENDINGS["not sent", None], api.Load())
+            return
+        _, plan, title, description = call.sent
+        call.written = True
         link.write(
             frames.frame(
                 frames.SETUP,
                 call.session,
                 {
                     frames.CLASS: plan,
-                    frames.WAIT: str(left).encode(),
+                    frames.WAIT: str((one.due - now) // MS).encode(),
                     frames.TITLE: title,
                     frames.RUNG: str(one.rung).encode(),
                     frames.DESCRIPTION: description,
@@ -309,6 +421,7 @@
         if call in self.waiting:
             self.waiting.remove(call)
         call.one.handle = None  # or the two would hold each other until the collector comes
+        call.origin = None
         link, call.link = call.link, None
         if link is not None:
             if link.out.get(call.session) is call:
@@ -323,15 +436,15 @@
 
     def give_up(self, call: Call) -> None:
         """The driver has ended the try."""
-        link, standing = call.link, call.link is None and call not in self.waiting
-        late = not standing and self.side.now() >= call.one.due
+        link = call.link
+        late = self.side.now() >= call.one.due
         self.forget(call)
-        if link is not None:
+        if link is not None and call.written:
             link.write(frames.release(call.session))
             if late:
                 # Danger: what answers nothing may answer nothing else on that connection either.
                 link.retire()
-        elif standing:
+        elif call.stood:
             self.tell(frames.release(call.session))
 
     def tell(self, data: bytes) -> None:
@@ -364,7 +477,7 @@
             link.write(frames.release(call.session))
             self.side.ear.ended(call.one, BINARY_ENDINGS["not understood", None], api.Load())
         else:
-            call.description = message.description
+            call.description, call.stood = message.description, True
             self.side.ear.flowing(call.one)
         if link.state == "leaving":
             link.retire()
@@ -375,7 +488,15 @@
             return
         cause, load = message.cause, message.load(self.side.wired.report)
         if call.one.state == "flowing":
-            self.finish(call, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
+            # Danger: what answers an earlier attempt may be said twice, late; what plays now plays on.
+            refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
+            earlier = (
+                call.origin in self.links
+                and link is not call.origin
+                and call.one.playback.number in link.carried
+            )
+            if not refusal and not earlier:
+                self.finish(call, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
         elif call.link is link:
             none = BINARY_ENDINGS["release", None]
             self.finish(call, BINARY_ENDINGS.get(("release", cause), none), load)
@@ -433,6 +554,10 @@
             self.keep_reachable()
         elif now - self.heard >= SILENT and not self.coming:
             self.dial()
+        for link in self.open_links():
+            last = len(self.links) == 1 and self.stands()
+            if not last and not link.out and not link.tests and not self.fresh(link, now):
+                link.close("retired")
 
 
 HEARD: dict[int, Callable[[MediaHost, Link, Frame], None]] = {
@@ -453,40 +578,54 @@
         self.opened = 0
         self._sessions = 0
         self._closed = False
+        self._turning: list[MediaHost] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch()
 
-    def keep(self, work: asyncio._CoroutineLike[None]) -> None:
+    def keep(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run this beside the rest."""
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def later(self, after: int, work: Callable[[], object]) -> asyncio.TimerHandle:
         """Call after so many nanoseconds."""
         return self._loop.call_later(after / 1e9, work)
 
+    def after_reading(self, work: Callable[[], object]) -> None:
+        """Call once all has been read that has come in by now."""
+        # The loop polls its sockets before the first of the two, and reads them before the second.
+        self._loop.call_soon(self._loop.call_soon, work)
+
     def room(self) -> bool:
         """Whether there is a descriptor for one more connection."""
         return self.opened < self.wired.most
 
     def listed(self, entries: list[Entry], gone: Callable[[Entry], bool]) -> None:
-        """The list has changed so."""
+        """The list has changed so; `turn_away` follows once the decisions know."""
         for entry in entries:
             host = self.hosts.get(entry.number)
             if gone(entry):
                 if host is not None:
-                    host.listed = False
-                    # Danger: a machine that goes for good says nothing, and its connections stay open.
-                    host.cut("not listed")
-                    host.keep_reachable()
-            elif host is None or host.address != entry.address:
+                    self._turning.append(host)
+                    host.dismiss("not listed")
+                continue
+            if host is None or host.address != entry.address:
                 if host is not None:
-                    host.listed = False
-                    host.cut("at another address")
-                self.hosts[entry.number] = MediaHost(self, entry.number, entry.name, entry.address)
-            if entry.number in self.hosts:
-                self.hosts[entry.number].draining = entry.standing is Standing.DRAINING
+                    self._turning.append(host)
+                    host.dismiss("at another address")
+                host = self.hosts[entry.number] = MediaHost(self, entry.number, entry.name, entry.address)
+            host.listed = True
+            host.draining = entry.standing is Standing.DRAINING
+            if host.draining:
+                self._turning.append(host)
+
+    def turn_away(self) -> None:
+        """Once the decisions have heard of the list: nothing new to hosts that drain or are gone."""
+        turning, self._turning = self._turning, []
+        for host in turning:
+            host.turn_away()
         for number, host in list(self.hosts.items()):
             if not host.listed and not host.calls and not host.links and not host.coming:
                 del self.hosts[number]
@@ -513,7 +652,8 @@
         if host is None:
             self.ear.ended(one, BINARY_ENDS[41], api.Load())
             return
-        one.handle = host.calls[sent.session] = Call(one, host, sent)
+        one.handle = host.calls[sent.session] = call = Call(one, host, sent)
+        call.stood = True
         host.keep_reachable()
 
     def close_try(self, one: Try) -> None:
@@ -542,6 +682,8 @@
         self._closed = True
         for host in self.hosts.values():
             host.listed = False
+            for link in list(host.coming):
+                link.drop()
             for link in list(host.links):
                 link.close("retired")
         for task in self._tasks:
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -17,8 +17,9 @@
 from burlmast.edge.driver import Driver, Final, Playback, Try
 from burlmast.logic import Gateway
 from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
-from burlmast.node.door import Door, Viewer, Viewing
+from burlmast.node.door import Door, Viewing
 from burlmast.node.hosts import HostsSide, Wired
+from burlmast.node.listener import Listener
 from burlmast.node.names import Entry
 from burlmast.node.resolver import Resolver
 from burlmast.node.roster import TOLD_BY, Roster
@@ -53,43 +54,49 @@
         self.done: asyncio.Future[int] = self.loop.create_future()
         self.roster = Roster(told.zones, told.kinds, self.now())
         self.roster.start(told.serial, told.events)
-        wired = Wired(told.connect, told.parts.hosts, told.streams, told.report)
+        wired = Wired(told.connect, told.idle, told.parts.hosts, told.streams, told.report)
         self.hosts = HostsSide(wired, self, self.now)
         self.door = Door(told, self.now, self.log.say, told.parts.viewers)
         self.door.arm = self.arm
         self.door.stands = self.hosts.stands
         self.door.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
         self.resolver = Resolver(
-            told.resolver, told.seed, self.now, self._answered, self._heard, self.log.say
+            told.resolver, told.seed, self.now, self._answered, self._heard, self.log.say, self.door.make_room
         )
         self._lives = 0
+        self._beginning = False
         self.begin()
 
     def begin(self) -> None:
         """Decisions that know only the list."""
         told, seed = self.told, self.told.seed + self._lives
         self._lives += 1
-        self.driver = Driver(
-            lambda now: Gateway(told.terms, seed, now),
-            self,
-            str,
-            told.terms.allowed.tries,
-            None,
-            self.door.viewing,
-            self.now(),
-        )
-        self.door.driver = self.driver
-        self._list(*self.roster.whole(), list(self.roster.entries.values()))
+        self._beginning = True
+        try:
+            self.driver = Driver(
+                lambda now: Gateway(told.terms, seed, now),
+                self,
+                str,
+                told.terms.allowed.tries,
+                None,
+                self.door.viewing,
+                self.now(),
+            )
+            self.door.driver = self.driver
+            self._list(*self.roster.whole(), list(self.roster.entries.values()))
+        finally:
+            self._beginning = False
         self.arm()
 
     async def start(self) -> None:
         """Begin to listen."""
         self.loop.add_signal_handler(signal.SIGHUP, self.read_again)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self.server = await self.loop.create_server(
-            lambda: Viewer(self.door), *self.told.listen, backlog=1024
-        )
-        self.port: int = self.server.sockets[0].getsockname()[1]
+        # Danger: until here SIGHUP was ignored, and the file may have been replaced since it was read.
+        self.read_again()
+        self.listener = Listener(self.told.listen, self.door)
+        self.port = self.listener.port
+        self.listener.start()
         self.resolver.start()
         self.door.sweep()
         # Viewers are not kept waiting for a name server that says nothing.
@@ -100,7 +107,7 @@
 
     def close(self) -> None:
         """Close every socket."""
-        self.server.close()
+        self.listener.close()
         self.resolver.close()
         self.door.close()
         self.hosts.close()
@@ -120,8 +127,8 @@
         except BadConfiguration as why:
             self.log.say(f"the old configuration stands: {why}")
             return
-        self.log.say(f"the name server is at {told.resolver[0]}:{told.resolver[1]}")
-        self.resolver.move(told.resolver)
+        if self.resolver.move(told.resolver):
+            self.log.say(f"the name server is at {told.resolver[0]}:{told.resolver[1]}")
 
     def stop(self) -> None:
         """The platform will end this process: until then it answers what comes."""
@@ -150,6 +157,7 @@
                 if row.started:
                     self.hosts.restarted(row.host, row.started)
         self.driver.listed(self.now(), scope, timed, where)
+        self.hosts.turn_away()
         self.arm()
 
     # The driver's outside.
@@ -192,11 +200,28 @@
             if playback.state == "playing":
                 playback.state = "over"
                 self.door.over(playback)
-        # An end of this process would void more than what these decisions held.
-        self.loop.call_soon(self.begin)
+        # An end of this process would void more than what these decisions held. What comes before new ones
+        # are there is refused, since the old ones would never answer it.
+        self.door.driver = None
+        if self._beginning:
+            self.loop.call_soon(self.begin)
+        else:
+            self.begin()
 
     # The hosts' ear.
 
+    def wanted(self, one: Try) -> bool:
+        """See `hosts.Ear`."""
+        return self.door.wanted(one.playback)
+
+    def unread(self, one: Try) -> bool:
+        """See `hosts.Ear`."""
+        return self.door.unread(one.playback)
+
+    def shortage(self) -> None:
+        """See `hosts.Ear`."""
+        self.door.make_room()
+
 
 async def serve(path: Path, told: Configuration) -> int:
     """One gateway, until the process is ended. Raises OSError where it cannot listen."""
--- a/burlmast/node/resolver.py
+++ b/burlmast/node/resolver.py
@@ -4,12 +4,45 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import cast
 
+from burlmast.node.descriptors import SHORTAGE
 from burlmast.node.names import Entry, Unsound, query, read_answer
 from burlmast.node.roster import Asking
 
 
-class Resolver(asyncio.DatagramProtocol):
+class Question(asyncio.DatagramProtocol):
+    """One socket to one address; what comes over it counts as long as it is the resolver's."""
+
+    def __init__(self, resolver: Resolver) -> None:
+        self.resolver = resolver
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """An answer, or something else."""
+        if self.resolver.question is self:
+            self.resolver.heard(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """The port is closed, or the like; the question is asked again when it falls due."""
+        if self.resolver.question is self:
+            self.resolver.trouble(f"name server: {exc}")
+
+    def ask(self, number: int) -> None:
+        """Send the question."""
+        if self.transport is not None:
+            self.transport.sendto(query(number))
+
+    def close(self) -> None:
+        """Hear nothing more."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+class Resolver:
     """The question to one name server after another, for as long as the gateway runs."""
 
     def __init__(
@@ -20,13 +53,14 @@
         told: Callable[[int, list[Entry]], bool],
         same: Callable[[], None],
         trouble: Callable[[str], None],
+        shortage: Callable[[], None],
     ) -> None:
         """`told` takes a serial and a whole list, and says whether it is not older than what is known;
-        `same` hears of an answer that says what the last one said."""
-        self._address, self._now, self._told, self._trouble = address, now, told, trouble
-        self._same = same
+        `same` hears of an answer that says what the last one said, `shortage` that there is no descriptor."""
+        self._address, self._now, self._told, self.trouble = address, now, told, trouble
+        self._same, self._shortage = same, shortage
         self._asking = Asking(seed)
-        self._transport: asyncio.DatagramTransport | None = None
+        self.question: Question | None = None
         self._last = b""
         self._loop = asyncio.get_running_loop()
         self._opening: asyncio.Task[None] | None = None
@@ -36,17 +70,24 @@
         """Begin to ask."""
         self._due()
 
-    def move(self, address: tuple[str, int]) -> None:
-        """Ask at another address from now on."""
-        if address != self._address:
-            self._address = address
-            self._do(self._asking.take(self._now(), "moved"))
+    def move(self, address: tuple[str, int]) -> bool:
+        """Ask at another address from now on; False where it is the same. The old one's word ends here."""
+        if address == self._address:
+            return False
+        self._address = address
+        self._leave()
+        self._do(self._asking.take(self._now(), "moved"))
+        return True
 
     def close(self) -> None:
         """Ask no more."""
         self._closed = True
-        if self._transport is not None:
-            self._transport.close()
+        self._leave()
+
+    def _leave(self) -> None:
+        old, self.question = self.question, None
+        if old is not None:
+            old.close()
 
     def _due(self) -> None:
         if self._closed:
@@ -55,29 +96,36 @@
         self._loop.call_later(max(0.001, (self._asking.due - self._now()) / 1e9), self._due)
 
     def _do(self, what: str) -> None:
-        if what == "ask" and self._transport is not None:
-            self._transport.sendto(query(self._asking.number))
+        if what == "ask" and self.question is not None:
+            self.question.ask(self._asking.number)
         elif what in ("ask", "ask afresh") and self._opening is None:
             self._opening = self._loop.create_task(self._open())
 
     async def _open(self) -> None:
-        old, self._transport = self._transport, None
-        if old is not None:
-            old.close()
+        address, fresh = self._address, Question(self)
         try:
             # Connected, so that nobody else's datagram comes in and a closed port is heard of.
-            self._transport, _ = await self._loop.create_datagram_endpoint(
-                lambda: self, remote_addr=self._address
-            )
+            await self._loop.create_datagram_endpoint(lambda: fresh, remote_addr=address)
         except OSError as why:
-            self._trouble(f"no socket to the name server: {why}")
+            self.trouble(f"no socket to the name server: {why}")
+            if why.errno in SHORTAGE:
+                self._shortage()
         finally:
             self._opening = None
-        if self._transport is not None and not self._closed:
-            self._transport.sendto(query(self._asking.number))
+        if self._closed or address != self._address:
+            fresh.close()
+            if not self._closed:
+                self._do("ask afresh")
+            return
+        if fresh.transport is not None:
+            # Danger: the old socket is given up only for a new one, or a shortage would leave none.
+            self._leave()
+            self.question = fresh
+        if self.question is not None:
+            self.question.ask(self._asking.number)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        """An answer, or something else."""
+    def heard(self, data: bytes) -> None:
+        """An answer, or something else, from where is asked now."""
         number = self._asking.number
         if data[2:] == self._last and data[:2] == number.to_bytes(2, "big"):
             self._do(self._asking.take(self._now(), "answered"))
@@ -86,16 +134,12 @@
         try:
             serial, entries = read_answer(data, number)
         except Unsound as why:
-            self._trouble(f"name server: {why}")
+            self.trouble(f"name server: {why}")
             self._do(self._asking.take(self._now(), "unsound"))
             return
         if self._told(serial, entries):
             self._last = data[2:]
             self._do(self._asking.take(self._now(), "answered"))
         else:
-            self._trouble(f"name server: an older list, {serial}")
+            self.trouble(f"name server: an older list, {serial}")
             self._do(self._asking.take(self._now(), "unsound"))
-
-    def error_received(self, exc: Exception) -> None:
-        """The port is closed, or the like; the question is asked again when it falls due."""
-        self._trouble(f"name server: {exc}")
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -71,6 +71,7 @@
         self.does: Callable[[Frame], bytes] = answer
         self.heard: list[Frame] = []
         self.links: list[asyncio.StreamWriter] = []
+        self.carried: list[tuple[int, asyncio.StreamWriter]] = []  # set-ups, and the connection of each
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -85,6 +86,7 @@
                 for message in taken.feed(data)[0]:
                     self.heard.append(message)
                     if message.kind == frames.SETUP:
+                        self.carried.append((message.session, writer))
                         writer.write(self.does(message))
                     elif message.kind == frames.PING:
                         writer.write(frame(frames.PONG, message.session, {frames.CAUSE: b"\x01"}))
--- /dev/null
+++ b/tests/test_node_crossings.py
@@ -0,0 +1,521 @@
+"""Two events that cross, in the worst order: the stand-ins and the loop force it, no sleep does."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import socket
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_standin import (
+    EXTRAS,
+    ID,
+    SDP,
+    SETTINGS,
+    Host,
+    Line,
+    NameServer,
+    Platform,
+    answer,
+    platform,
+    release,
+    reply,
+    until,
+)  # fmt: skip
+
+from burlmast.node import frames
+from burlmast.node.frames import Frame
+from burlmast.node.hosts import Link, MediaHost
+
+OTHER = "00000000000000aa"
+SESSION = int(ID, 16)
+PATIENT = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connectTimeoutMs": 3000.0}}
+
+
+def run(
+    work: Callable[[Platform], Coroutine[Any, Any, None]], folder: Path, hosts: int = 4, **changes: Any
+) -> None:
+    async def whole() -> None:
+        async with platform(folder, hosts, **changes) as one:
+            await work(one)
+
+    asyncio.run(whole())
+
+
+async def playing(one: Platform, name: str = ID) -> tuple[Line, Host]:
+    line = await one.line()
+    line.set_up(name)
+    assert (await line.hear())["type"] == "answer"
+    return line, one.host_of(name)
+
+
+def set_ups(one: Platform, name: str = ID) -> list[tuple[Host, Frame]]:
+    """The set-ups that hosts have got under this id."""
+    return [(h, m) for h in one.hosts for m in h.of(frames.SETUP) if m.session == int(name, 16)]
+
+
+def known(one: Platform, host: Host) -> MediaHost:
+    """What the gateway holds of this host."""
+    return next(found for found in one.program.hosts.hosts.values() if found.name == host.name)
+
+
+async def through(one: Platform) -> None:
+    """Wait until what has been sent to any host by now has been read there."""
+    for host in one.hosts:
+        pings = len(host.of(frames.PING))
+        known(one, host).test(10_000 + pings)
+        await until(lambda host=host, pings=pings: len(host.of(frames.PING)) > pings)
+
+
+def asked(name: str) -> bytes:
+    fields = {"class": "paid", "left": "1000", "key": "7f3a", "extras": EXTRAS}
+    return json.dumps({"type": "setup", "id": name, "fields": fields, "sdp": SDP}).encode() + b"\n"
+
+
+def given_up(name: str) -> bytes:
+    return json.dumps({"type": "release", "id": name, "fields": {}, "cause": 16}).encode() + b"\n"
+
+
+def hang_up(line: Line) -> None:
+    """Close at once; a transport would do so a turn of the loop later."""
+    line.writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+
+
+# Clients that have gone.
+
+
+@pytest.mark.parametrize("how", ["close", "half-close", "reset", "release"])
+def test_a_set_up_and_its_end_that_come_together_reach_no_host(tmp_path: Path, how: str) -> None:
+    async def work(one: Platform) -> None:
+        other, _ = await playing(one, OTHER)  # a connection to the host is open and free
+        gone = socket.create_connection(("127.0.0.1", one.program.port))
+        before = len(one.program.door.viewers)
+        await until(lambda: len(one.program.door.viewers) > before)
+        gone.send(asked(ID) + (given_up(ID) if how == "release" else b""))
+        if how == "reset":
+            gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        if how in ("close", "reset"):
+            gone.close()
+        elif how == "half-close":
+            gone.shutdown(socket.SHUT_WR)
+        await until(lambda: how == "release" or len(one.program.door.viewers) == before)
+        other.say("ping", "00")
+        assert (await other.hear())["type"] == "pong"
+        await through(one)
+        assert not set_ups(one) and ID not in one.program.door.known
+        gone.close()
+
+    run(work, tmp_path, 1)
+
+
+@pytest.mark.parametrize("how", ["close", "release"])
+def test_no_further_attempt_begins_once_the_viewers_end_is_in_the_socket(tmp_path: Path, how: str) -> None:
+    async def work(one: Platform) -> None:
+        other, _ = await playing(one, OTHER)
+        line = await one.line()
+        loop = asyncio.get_running_loop()
+
+        def refuse(message: Frame) -> bytes:
+            # The refusal lies in the gateway's socket first, the viewer's end second, before it reads either.
+            loop.call_soon(lambda: hang_up(line) if how == "close" else line.say("release", cause=16))
+            return release(message.session, 34)
+
+        for host in one.hosts:
+            host.does = refuse
+        line.set_up()
+        await until(lambda: set_ups(one) and ID not in one.program.door.known)
+        await through(one)
+        assert len(set_ups(one)) == 1 and other
+
+    run(work, tmp_path, 2)
+
+
+@pytest.mark.parametrize("last", ["paused", "unsent"])
+def test_the_close_of_a_viewer_that_reads_nothing_is_seen(tmp_path: Path, last: str) -> None:
+    async def work(one: Platform) -> None:
+        for host in one.hosts:
+            host.does = lambda message: b""
+        slow = socket.socket()
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.connect(("127.0.0.1", one.program.port))
+        slow.send(asked(ID))
+        await until(lambda: set_ups(one))
+        (viewer,) = one.program.door.viewers
+        assert viewer.transport is not None
+        if last == "paused":
+            viewer.pause_writing()  # as the transport does over its high water
+        else:
+            viewer.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            viewer.write(b" " * 100_000)
+            assert viewer.transport.get_write_buffer_size()
+        slow.shutdown(socket.SHUT_WR)
+        await until(lambda: one.host_of().of(frames.RELEASE))
+        assert ID not in one.program.door.known
+        await until(lambda: not one.program.door.viewers), "it keeps no descriptor"
+        slow.close()
+
+    run(work, tmp_path)
+
+
+def test_an_answer_that_crosses_the_viewers_close_is_released_at_its_host(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line = await one.line()
+        loop = asyncio.get_running_loop()
+
+        def say(message: Frame) -> bytes:
+            loop.call_soon(hang_up, line)
+            return answer(message)
+
+        for host in one.hosts:
+            host.does = say
+        line.set_up()
+        await until(lambda: set_ups(one) and one.host_of().of(frames.RELEASE))
+        assert not one.program.driver.held and ID not in one.program.door.known
+
+    run(work, tmp_path)
+
+
+# Attempts that wait for a connection.
+
+
+class Gate:
+    """Holds dials to one port until it is opened."""
+
+    def __init__(self, port: int) -> None:
+        self.port, self.held, self.open = port, 0, asyncio.Event()
+        loop: Any = asyncio.get_running_loop()
+        self._real, loop.create_connection = loop.create_connection, self._dial
+
+    async def _dial(self, made: Any, host: str, port: int) -> Any:
+        if port == self.port:
+            self.held += 1
+            await self.open.wait()
+        return await self._real(made, host, port)
+
+
+@pytest.mark.parametrize("news", ["gone", "draining", "moved"])
+def test_what_waits_for_a_connection_goes_elsewhere_once_the_list_says_so(tmp_path: Path, news: str) -> None:
+    async def work(one: Platform) -> None:
+        first, second = one.hosts
+        gate = Gate(first.port)
+        two = Gate(second.port)
+        two.open.set()
+        line = await one.line()
+        for number in range(40):  # the list has both; sooner or later one of them waits at the first
+            name = f"{number:016x}"
+            line.set_up(name, key=f"{number:x}", left="2900")
+            await until(lambda name=name: gate.held or set_ups(one, name))
+            if gate.held:
+                break
+            await line.hear()
+        assert gate.held
+        third = Host("s-9")
+        await third.start()
+        one.hosts.append(third)
+        one.names.serial += 1
+        if news == "gone":
+            del one.names.rows[first.name]
+        elif news == "draining":
+            one.names.rows[first.name] = first.port, 1
+        else:
+            one.names.rows[first.name] = third.port, 0
+        assert (await line.hear())["type"] == "answer", "it does not wait for the connection's time"
+        gate.open.set()
+        await until(lambda: not known(one, second).coming)
+        assert not set_ups(one, name) or set_ups(one, name)[0][0] is not first
+        line.say("ping", "00")
+        await line.hear()
+        assert not first.of(frames.SETUP)
+
+    plan = {**SETTINGS["requestClasses"][0], "goalTimeMs": 30_000.0, "hardLimitMs": 3000.0}
+    settings = {**PATIENT, "requestClasses": [plan]}
+    run(work, tmp_path, 2, settings=settings)
+
+
+def test_what_is_out_at_a_host_that_is_gone_is_waited_for_no_longer(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        for host in one.hosts:
+            host.does = lambda message: b""
+        line = await one.line()
+        line.set_up()
+        await until(lambda: set_ups(one))
+        silent = one.host_of()
+        for host in one.hosts:
+            host.does = answer
+        one.names.serial += 1
+        del one.names.rows[silent.name]
+        assert (await line.hear())["type"] == "answer"
+        assert {host for host, _ in set_ups(one)} != {silent}
+        await until(lambda: silent.of(frames.RELEASE))
+
+    settings = {**SETTINGS, "requestClasses": [{**SETTINGS["requestClasses"][0], "goalTimeMs": 30_000.0}]}
+    run(work, tmp_path, settings=settings)
+
+
+def test_a_dial_whose_time_runs_out_as_it_comes_up_counts_once(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        loop: Any = asyncio.get_running_loop()
+        real, late = loop.call_soon, [True]
+
+        def call_soon(work: Any, *more: Any, **named: Any) -> Any:
+            made = getattr(work, "__name__", "") == "connection_made"
+            if made and isinstance(getattr(work, "__self__", None), Link) and late:
+                late.clear()
+                time.sleep(SETTINGS["allowed"]["connectTimeoutMs"] / 1000 + 0.01)  # the loop was busy
+            return real(work, *more, **named)
+
+        loop.call_soon = call_soon
+        line = await one.line()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer" and not late
+        hosts = list(one.program.hosts.hosts.values())
+        await until(lambda: not any(host.coming for host in hosts))
+        assert one.program.hosts.opened == sum(len(host.links) for host in hosts)
+        assert all(link.state == "open" for host in hosts for link in host.links)
+
+    run(work, tmp_path, 1)
+
+
+# Answers that come twice.
+
+
+def test_a_late_second_refusal_ends_neither_the_next_attempt_nor_what_plays(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        (host,) = one.hosts
+        first: list[asyncio.StreamWriter] = []
+
+        def does(message: Frame) -> bytes:
+            if not first:
+                first.append(host.links[-1])
+                return release(message.session, 34)
+            first[0].write(release(message.session, 34))  # again, while the second attempt is out
+            return b""
+
+        host.does = does
+        line = await one.line()
+        line.set_up()
+        await until(lambda: len(set_ups(one)) == 2)
+        await through(one)
+        await through(one)
+        assert len(set_ups(one)) == 2, "a third would have run beside the second"
+        host.links[-1].write(answer(set_ups(one)[1][1]))
+        assert (await line.hear())["type"] == "answer"
+        for cause in (34, 47, 41):
+            first[0].write(release(SESSION, cause))
+        await through(one)
+        await through(one)
+        assert ID in one.program.door.known
+        host.links[-1].write(release(SESSION, 16))
+        assert (await line.hear())["cause"] == 16
+
+    run(work, tmp_path, 1)
+
+
+def test_no_set_up_goes_where_the_host_is_about_to_close_for_idleness(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        at = known(one, host)
+        (old,) = at.links
+        old.used -= 1_900_000_000  # nothing has passed for most of the 2 s
+        line.set_up(OTHER)
+        assert (await line.hear())["type"] == "answer"
+        assert host.carried[0][1] is not host.carried[1][1] and OTHER in one.program.door.known
+        old.used -= 1_900_000_000
+        at.watch(one.program.now())
+        assert old not in at.links, "the one that is left tells of what stands"
+
+    settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "idleCloseMs": 2000.0}}
+    run(work, tmp_path, 1, settings=settings)
+
+
+# Descriptors.
+
+
+def test_a_burst_of_silent_viewers_never_goes_over_the_share_and_a_real_one_is_served(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        door, most = one.program.door, one.program.told.parts.viewers
+        seen, came = [0], door.came
+
+        def watched(viewer: Any) -> None:
+            came(viewer)
+            seen[0] = max(seen[0], len(door.viewers))
+
+        door.came = watched  # type: ignore[method-assign]
+        crowd = [socket.socket() for _ in range(3 * most)]
+        for idle in crowd:
+            idle.setblocking(False)
+            idle.connect_ex(("127.0.0.1", one.program.port))
+        line = await one.line()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer"
+        assert most <= seen[0] <= most + 8
+        for idle in crowd:
+            idle.close()
+
+    run(work, tmp_path, 1)
+
+
+def none_left(port: int, times: int) -> list[int]:
+    """So many dials to this port find no descriptor; what is left of them."""
+    loop: Any = asyncio.get_running_loop()
+    real, left = loop.create_connection, list(range(times))
+
+    async def dial(made: Any, host: str, to: int) -> Any:
+        if left and to == port:
+            left.pop()
+            raise OSError(errno.EMFILE, "none left")
+        return await real(made, host, to)
+
+    loop.create_connection = dial
+    return left
+
+
+def test_a_shortage_of_descriptors_is_no_failure_of_the_host(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        idle = await one.line()
+        for each in (idle, line):
+            each.say("ping", "00")
+            assert (await each.hear())["type"] == "pong"
+        left = none_left(host.port, 1)
+        host.links[0].transport.abort()  # what stands is reached for again: a dial, and none is left
+        await until(lambda: not left and host.links)
+        assert ID in one.program.door.known
+        assert await idle.hear() == {}, "an idle viewer makes room"
+        line.set_up(OTHER)
+        assert (await line.hear())["type"] == "answer"
+
+    run(work, tmp_path, 1)
+
+
+def test_what_waits_for_a_descriptor_is_sent_when_there_is_one(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        left = none_left(one.hosts[0].port, 2)
+        line = await one.line()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer" and not left
+        assert len(set_ups(one)) == 1
+
+    run(work, tmp_path, 1)
+
+
+# The list.
+
+
+async def name_server(serial: int = 1) -> tuple[NameServer, Any]:
+    found = NameServer()
+    found.serial = serial
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(lambda: found, ("127.0.0.1", 0))
+    return found, transport.get_extra_info("sockname")
+
+
+def test_a_move_while_the_socket_opens_asks_the_new_address_at_once(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        new, address = await name_server(2)
+        new.rows = dict(one.names.rows)
+        one.names.spoil = lambda raw: None
+        loop: Any = asyncio.get_running_loop()
+        real, gate, held = loop.create_datagram_endpoint, asyncio.Event(), []
+
+        async def create(*what: Any, **named: Any) -> Any:
+            held.append(named["remote_addr"])
+            await gate.wait()
+            return await real(*what, **named)
+
+        loop.create_datagram_endpoint = create
+        await until(lambda: held)
+        before = one.names.asked
+        one.write(address[1])
+        one.program.read_again()
+        gate.set()
+        await until(lambda: new.asked)
+        assert held[-1] == address and one.names.asked == before
+        await until(lambda: one.program.roster.serial == 2)
+        new.transport.close()
+
+    run(work, tmp_path)
+
+
+def test_what_an_old_address_says_after_a_move_changes_nothing(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        new, address = await name_server(2)
+        new.rows = dict(one.names.rows)
+        kept: list[tuple[bytes, Any]] = []
+        real = one.names.datagram_received
+        one.names.datagram_received = lambda data, addr: kept.append((data, addr))  # type: ignore[method-assign]
+        await until(lambda: kept)
+        # The answer lies in the socket when the move comes: a list with no host at all, and a late serial.
+        data, addr = kept[-1]
+        one.names.transport.sendto(reply(data, 99, {}), addr)
+        one.write(address[1])
+        one.program.read_again()
+        await until(lambda: new.asked and one.program.roster.serial == 2)
+        assert len(one.program.roster.entries) == 4 and real
+
+    run(work, tmp_path)
+
+
+def test_the_old_socket_is_kept_while_no_new_one_is_to_be_had(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        await until(lambda: one.names.asked)
+        loop: Any = asyncio.get_running_loop()
+        real, tried = loop.create_datagram_endpoint, []
+
+        async def create(*what: Any, **named: Any) -> Any:
+            tried.append(1)
+            raise OSError(errno.EMFILE, "none left")
+
+        loop.create_datagram_endpoint = create
+        one.names.spoil = lambda raw: None
+        await until(lambda: len(tried) > 1)
+        one.names.spoil = lambda raw: raw
+        one.names.serial = 5
+        await until(lambda: one.program.roster.serial == 5)
+        loop.create_datagram_endpoint = real
+
+    run(work, tmp_path)
+
+
+def test_a_host_at_anothers_address_is_another_host(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        one.names.serial += 1
+        del one.names.rows[host.name]
+        one.names.rows["s-next"] = host.port, 0
+        assert (await line.hear())["cause"] == 41
+        (new,) = [h for h in one.program.hosts.hosts.values() if h.name == "s-next"]
+        assert not new.calls and not new.links
+        before = len(host.of(frames.SETUP))
+        line.set_up(OTHER)
+        assert (await line.hear())["type"] == "answer"
+        assert len(host.of(frames.SETUP)) == before + 1 and len(new.links) == 1
+
+    run(work, tmp_path, 1)
+
+
+# A fall of the decisions.
+
+
+def test_what_is_read_with_a_fall_is_answered_and_hosts_hear_of_what_played(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+
+        def fall(*_: object) -> list[Any]:
+            raise RuntimeError("planted")
+
+        one.program.driver.policy.take = fall  # type: ignore[method-assign]
+        names = [f"{number:016x}" for number in (1, 2, 3)]
+        line.raw(b"".join(asked(name) for name in names))
+        told = [await line.hear() for _ in range(4)]
+        assert {message["id"] for message in told} == {ID, *names}
+        await until(lambda: [m.session for m in host.of(frames.RELEASE)] == [SESSION])
+        played = {message["id"] for message in told if message["type"] == "answer"}
+        assert set(one.program.door.known) == played and not one.program.driver.failed
+
+    run(work, tmp_path)
