The cold pace counts how long a set-up may wait for its connection

Seen: hosts.py sends what waited when its connection comes up, up to connectTimeoutMs after the decision; the pace's span allowed five beats for that. A new host is one that nobody has a connection to, so first set-ups of all gateways wait and the next span's do not. Ruled out: turns and shares themselves (their sum stays at N when nothing waits). Change: Gateway.pace, whose span is longer by allowed.connect; read by the settings.

--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -119,6 +119,7 @@
     longest_advice: int
     must_ask: bool
     ask_within: int
+    connect: int = 0  # how long a set-up may wait for a connection
 
 
 @dataclass(frozen=True)
--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -427,8 +427,9 @@
         """The span that counts and what all gateways together may send to a cold host in it."""
         rules = self.terms.rules
         capacity = rules.cold_share * host.places / max(1, rules.warm_after)
-        # Sends may bunch up on the way: ours keep to a longer span.
-        return rules.fall_span + 5 * self.terms.beat, rules.fall_multiple * capacity * rules.fall_span
+        # Sends bunch up on the way, where they wait for connections: ours keep to a longer span.
+        wait = self.terms.allowed.connect + 5 * self.terms.beat
+        return rules.fall_span + wait, rules.fall_multiple * capacity * rules.fall_span
 
     def pace_allows(self, now: int, host: Host) -> bool:
         """Mechanism 3."""
--- a/burlmast/wirehost/settings.py
+++ b/burlmast/wirehost/settings.py
@@ -169,6 +169,7 @@
             longest_advice=allowed.span("maxRetryAfterMs", 0.0),
             must_ask=sheet.get("discovery", str) == "subscribe",
             ask_within=rules.span("askWithinMs", 0.0),
+            connect=allowed.span("connectTimeoutMs", 0.0),
         ),
         rules=api.HouseRules(
             cold_share=rules.get("coldFrom", float),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,6 +10,7 @@
 
 from burlmast import api
 from burlmast.api import Ending, Repeat
+from burlmast.logic import Gateway
 
 
 def drawn(seed: int) -> api.Terms:
@@ -103,3 +104,35 @@
     for _ in range(1500):
         model.beat()
     assert model.sent > 20 and model.finals > 20
+
+
+@pytest.mark.parametrize("gateways", [1, 8, 20, 30, 200])
+def test_set_ups_that_wait_for_connections_do_not_add_up_at_a_host_that_has_just_started(
+    gateways: int,
+) -> None:
+    connect = 250_000_000
+    terms = replace(
+        TERMS, gateways=gateways, allowed=replace(TERMS.allowed, connect=connect, probes=False),
+        lineup=replace(TERMS.lineup, tells=False),
+    )  # fmt: skip
+    now, sent = 100 * SECOND, list[int]()
+    fleet = [Gateway(replace(terms, number=n), n, now) for n in range(gateways)]
+    for one in fleet:
+        one.begin(now)
+        one.take(now, api.Listed(api.Scope.COMPLETE, (row(0),)))
+    now += 20 * SECOND
+    for one in fleet:  # all are told at once that the host has just started, and all are asked without end
+        one.take(now, api.Listed(api.Scope.CHANGES, (row(0, started=now),)))
+    for beat in range(600):
+        for one in fleet:
+            request = api.Request(beat, 0, 3.0, 0, 4, 1, 1, 3 * SECOND)
+            asked = one.take(now, api.Arrived(request))
+            if any(isinstance(action, api.SetUp) for action in asked):
+                sent.append(now)
+            one.take(now, api.ViewerLeft(beat))
+        now += BEAT
+    rules = terms.rules
+    bears = rules.fall_multiple * rules.cold_share * 30 / rules.warm_after * rules.fall_span
+    # Each may arrive at any moment while a connection is waited for: the worst of all orders.
+    most = max(sum(1 for at in sent if end - rules.fall_span - connect <= at <= end) for end in sent)
+    assert 0 < most <= bears
