Descriptors that run out, SIGHUP at the start and two customers: tests with processes

Need: the terms on descriptors, restarts and settings, with processes as the deploy file starts them. Ruled out: the name server's socket and dials (log). listener.py, _accept: it goes on at once where room was made. Also: SIGHUP is ignored by the deploy file's shell already, and a new file's other settings are named in the log and do not count before the next start. Tests: SIGHUP before the handler (ended the process before), descriptors (failed before), signals in any order, SIGTERM in the start, ten starts at once under a sound, silent, slow and stale name server (ready in under 10 s), two customers side by side, one after the other, and after a fall.

--- a/benchmarks/seeds.py
+++ b/benchmarks/seeds.py
@@ -48,6 +48,23 @@
     return row(day, seed, read, done.returncode, time.monotonic() - began)
 
 
+def played(
+    told: argparse.Namespace, pool: ThreadPoolExecutor, asked: list[tuple[str, int]]
+) -> list[dict[str, Any]]:
+    """All of them, begun one after the other, so that no two fleets start their processes together."""
+    found = []
+    for place, one in enumerate(asked):
+        found.append(pool.submit(play, told, *one))
+        time.sleep(told.apart if place < told.jobs else 0)
+    return [one.result() for one in found]
+
+
+def keep(told: argparse.Namespace, day: str, seed: int) -> dict[str, Any]:
+    """The row of a seed that was played before."""
+    read = json.loads((told.out / f"{day}-{seed}.json").read_text())
+    return row(day, seed, read, 0, read["wall_ms"] / 1000)
+
+
 def row(day: str, seed: int, read: dict[str, Any], code: int, took: float) -> dict[str, Any]:
     """What the table says of one seed."""
     real, kept = read.get("real", {}), read.get("row", {})
@@ -110,13 +127,15 @@
     parser.add_argument("--seeds", type=seeds_of, default=seeds_of("1-10"))
     parser.add_argument("--nodes", type=int, default=30)
     parser.add_argument("--jobs", type=int, default=6, help="days at a time; each wants a core")
+    parser.add_argument("--apart", type=float, default=4.0, help="seconds between the first starts")
+    parser.add_argument("--read", action="store_true", help="only the table, of what FOLDER holds")
     parser.add_argument("--why", default="Small days over many seeds")
     parser.add_argument("--out", type=Path, required=True)
     told = parser.parse_args()
     told.out.mkdir(parents=True, exist_ok=True)
     asked = [(day, seed) for day in told.day for seed in told.seeds]
     with ThreadPoolExecutor(told.jobs) as pool:
-        rows = list(pool.map(lambda one: play(told, *one), asked))
+        rows = list(pool.map(lambda one: keep(told, *one), asked) if told.read else played(told, pool, asked))
     (told.out / "rows.json").write_text(json.dumps(rows, indent=1))
     print(table(rows))
     return int(any(one["gate"] != "kept" or one["broken"] != "none" or one["code"] for one in rows))
--- a/burlmast/node/door.py
+++ b/burlmast/node/door.py
@@ -198,12 +198,13 @@
         while self.owed and viewer.usable and not self._closed:
             viewer.say(self.owed.popleft())
 
-    def make_room(self) -> None:
-        """Close the connection that is missed least, where nothing is asked on any such."""
+    def make_room(self) -> bool:
+        """Close the connection that is missed least; False where something is asked on each."""
         idle = [one for one in self.viewers if not one.open and one.usable]
         if idle:
             self.counts["closed for room"] += 1
             min(idle, key=lambda one: (one.standing(self.now()), one.heard)).close()
+        return bool(idle)
 
     def abandoned(self, viewer: Viewer) -> None:
         """The other side of a connection has closed it: what is asked on it is given up."""
--- a/burlmast/node/listener.py
+++ b/burlmast/node/listener.py
@@ -62,9 +62,10 @@
                 if why.errno not in SHORTAGE:
                     raise
                 self._door.remark("no descriptor for a viewer")
-                self._door.make_room()
                 self._pause()
-                self._retry = self._loop.call_later(SWEEP / 1e9, self._again)
+                # Danger: those who wait behind a crowd of idle ones must not wait for each of them in turn.
+                soon = self._door.make_room()
+                self._retry = self._loop.call_later(0 if soon else SWEEP / 1e9, self._again)
                 return
             one.setblocking(False)
             self._door.accepted += 1
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -121,12 +121,17 @@
     # Signals.
 
     def read_again(self) -> None:
-        """The configuration has been replaced: its name server counts from now on."""
+        """The configuration has been replaced: its name server counts from now on, its settings do not.
+
+        What is decided here rests on the settings of the start, down to how much is out; new ones take effect
+        where a process starts with them."""
         try:
             told = read(self.path)
         except BadConfiguration as why:
             self.log.say(f"the old configuration stands: {why}")
             return
+        if (told.terms, told.plans, told.parts) != (self.told.terms, self.told.plans, self.told.parts):
+            self.log.say("other settings in the new configuration: they count from the next start")
         if self.resolver.move(told.resolver):
             self.log.say(f"the name server is at {told.resolver[0]}:{told.resolver[1]}")
 
--- a/burlmast/node/resolver.py
+++ b/burlmast/node/resolver.py
@@ -53,7 +53,7 @@
         told: Callable[[int, list[Entry]], bool],
         same: Callable[[], None],
         trouble: Callable[[str], None],
-        shortage: Callable[[], None],
+        shortage: Callable[[], object],
     ) -> None:
         """`told` takes a serial and a whole list, and says whether it is not older than what is known;
         `same` hears of an answer that says what the last one said, `shortage` that there is no descriptor."""
--- /dev/null
+++ b/tests/test_node_processes.py
@@ -0,0 +1,296 @@
+"""Gateways as processes of their own on loopback: signals, descriptors, starts; two customers' settings."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import shlex
+import signal
+import subprocess
+import sys
+import time
+import tomllib
+from collections.abc import AsyncIterator, Iterable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_standin import (
+    SETTINGS,
+    Line,
+    Platform,
+    answer,
+    platform,
+    until,
+)  # fmt: skip
+
+from burlmast import api
+from burlmast.logic import Gateway
+from burlmast.node import frames
+
+OTHER = "00000000000000aa"
+ROOT = Path(__file__).parent.parent
+
+
+class Node:
+    """One process, as `run` of the deploy file starts it."""
+
+    def __init__(self, config: Path) -> None:
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        self.log = (config.parent / f"log-{time.monotonic_ns()}").open("w+b")
+        self.began = time.monotonic()
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", run.replace(".venv/bin/python", shlex.quote(sys.executable))],
+            stderr=self.log, cwd=ROOT, env={**os.environ, "ROUTER_CONFIG": str(config)},
+        )  # fmt: skip
+
+    @property
+    def said(self) -> str:
+        return Path(self.log.name).read_text()
+
+    @property
+    def started(self) -> bool:
+        """Whether the shell has become the program."""
+        return b"burlmast.node" in Path(f"/proc/{self.process.pid}/cmdline").read_bytes().split(b"\0")
+
+    async def port(self) -> int:
+        await until(lambda: "listens at" in self.said or self.process.poll() is not None, 20)
+        assert self.process.poll() is None, self.said
+        return int(self.said.partition("listens at")[2].split()[0].rpartition(":")[2])
+
+    async def line(self) -> Line:
+        return Line(*await asyncio.open_connection("127.0.0.1", await self.port()))
+
+    async def ready(self) -> float:
+        """Seconds from its start to its first passed test."""
+        line = await self.line()
+        while True:
+            line.say("ping", "00")
+            if (await line.hear())["cause"] == 1:
+                line.writer.close()
+                return time.monotonic() - self.began
+            await asyncio.sleep(0.02)
+
+    def end(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+@asynccontextmanager
+async def nodes(one: Platform, number: int = 1) -> AsyncIterator[list[Node]]:
+    found = [Node(one.path) for _ in range(number)]
+    try:
+        yield found
+    finally:
+        for each in found:
+            each.end()
+
+
+def heard(one: Platform, kind: int) -> list[Any]:
+    return [message for host in one.hosts for message in host.of(kind)]
+
+
+def test_sighup_before_the_handler_stands_is_lost_neither_as_a_process_nor_as_a_file(tmp_path: Path) -> None:
+    async def whole() -> None:
+        async with platform(tmp_path) as one:
+            address = one.program.told.resolver
+            one.write(9)  # nobody is there
+            async with nodes(one) as (node,):
+                await until(lambda: node.started)
+                one.write(address[1])
+                while "listens at" not in node.said:
+                    node.process.send_signal(signal.SIGHUP)
+                    assert node.process.poll() is None, "it has ended"
+                    await asyncio.sleep(0.001)
+                one.names.serial, one.names.rows = 7, {}
+                await until(lambda: "ready: the list holds" in node.said)
+                line = await node.line()
+                line.set_up()
+                assert (await line.hear())["type"] == "release", "it knows that no host is left"
+                line.writer.close()
+
+    asyncio.run(whole())
+
+
+def test_signals_in_any_order_cost_no_request_in_flight(tmp_path: Path) -> None:
+    async def whole() -> None:
+        async with platform(tmp_path) as one, nodes(one) as (node,):
+            line = await node.line()
+            for host in one.hosts:
+                host.does = lambda message: b""
+            line.set_up()
+            await until(lambda: heard(one, frames.SETUP))
+            for each in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                node.process.send_signal(each)
+            await until(lambda: node.said.count("told to end") >= 1)
+            for host in one.hosts:
+                host.does = answer
+                for writer in host.links:
+                    writer.write(answer(heard(one, frames.SETUP)[0]))
+            assert (await line.hear())["type"] == "answer", "what was in flight"
+            line.set_up(OTHER)
+            assert (await line.hear())["type"] == "answer", "what comes on an open connection"
+            late = await node.line()
+            late.set_up("00000000000000bb")
+            assert (await late.hear())["type"] == "answer", "what comes on a new one"
+            assert node.process.poll() is None, "it waits for the platform to end it"
+            line.writer.close()
+            late.writer.close()
+
+    asyncio.run(whole())
+
+
+def test_sigterm_during_the_start_ends_it_before_it_has_taken_anything(tmp_path: Path) -> None:
+    async def whole() -> None:
+        async with platform(tmp_path) as one, nodes(one) as (node,):
+            await until(lambda: node.started)
+            node.process.send_signal(signal.SIGTERM)
+            await until(lambda: node.process.poll() is not None or "told to end" in node.said)
+            assert "Traceback" not in node.said
+
+    asyncio.run(whole())
+
+
+def test_idle_viewers_and_no_discovery_leave_descriptors_for_those_who_play(tmp_path: Path) -> None:
+    limits = {"cores": 1.0, "memory_mb": 64, "sockets": 64}
+
+    async def whole() -> None:
+        async with platform(tmp_path, 2, limits=limits) as one:
+            one.names.spoil = lambda raw: None
+            async with nodes(one) as (node,):
+                port = await node.port()
+                crowd = []
+                for _ in range(60):
+                    idle = Line(*await asyncio.open_connection("127.0.0.1", port))
+                    idle.say("ping", "00")
+                    crowd.append(idle)
+                files = Path(f"/proc/{node.process.pid}/fd")
+                assert len(list(files.iterdir())) <= limits["sockets"]
+                # Now not one more than are in use is to be had, for viewers, hosts or the question.
+                used = max(int(each.name) for each in files.iterdir()) + 1
+                resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (used, 64))
+                line = await node.line()
+                line.set_up()
+                assert (await line.hear())["type"] == "answer"
+                asked = one.names.asked
+                await until(lambda: one.names.asked > asked + 3)
+                one.names.serial, one.names.rows = 2, {}
+                one.names.spoil = lambda raw: raw
+                assert (await line.hear())["cause"] == 41, "the list is heard again: its host is gone"
+                assert "Traceback" not in node.said and node.process.poll() is None
+                for idle in (*crowd, line):
+                    idle.writer.close()
+
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize("names", ["sound", "silent", "slow", "stale"])
+def test_nine_in_ten_that_start_together_are_ready_in_time(tmp_path: Path, names: str) -> None:
+    async def whole() -> None:
+        async with platform(tmp_path) as one:
+            loop = asyncio.get_running_loop()
+            received = one.names.datagram_received
+            if names == "silent":
+                one.names.spoil = lambda raw: None
+            elif names == "slow":
+                later: Any = lambda data, addr: loop.call_later(0.4, received, data, addr)  # noqa: E731
+                one.names.datagram_received = later  # type: ignore[method-assign]
+            elif names == "stale":
+                one.names.serial = 0
+            async with nodes(one, 10) as found:
+                took = sorted(await asyncio.gather(*(node.ready() for node in found)))
+                assert took[8] <= 10 and took[9] <= 30, took
+
+    asyncio.run(whole())
+
+
+# Customers.
+
+GOLD = {
+    **SETTINGS,
+    "requestClasses": [
+        {"credit": 9.0, "goalTimeMs": 700.0, "hardLimitMs": 1200.0, "semantics": "once", "name": "gold"},
+        {"credit": 1.0, "goalTimeMs": 700.0, "hardLimitMs": 900.0, "semantics": "repeatable", "name": "tin"},
+    ],
+    "familyInfo": {**SETTINGS["familyInfo"], "rungKb": [100.0, 900.0], "classFloor": [1, 0]},
+    "rules": {**SETTINGS["rules"], "warmAfterMs": 9000.0, "coldFrom": 0.1},
+}
+
+
+def test_two_customers_in_one_process_share_nothing_and_a_new_file_changes_no_settings(
+    tmp_path: Path,
+) -> None:
+    async def classes(line: Line, first: int) -> dict[str, str]:
+        found = {}
+        for place, plan in enumerate(("paid", "gold", "tin")):
+            line.set_up(f"{first + place:016x}", **{"class": plan, "left": "800"})
+            found[plan] = (await line.hear())["type"]
+        return found
+
+    async def whole() -> None:
+        for name in ("a", "b"):
+            (tmp_path / name).mkdir()
+        async with platform(tmp_path / "a") as one, platform(tmp_path / "b", settings=GOLD) as other:
+            await until(lambda: one.program.door.ready and other.program.door.ready)
+            lines = [await one.line(), await other.line()]
+            here = {"paid": "answer", "gold": "release", "tin": "release"}
+            assert await classes(lines[0], 0x10) == here
+            there = await classes(lines[1], 0x20)
+            assert there["paid"] == "release" and "answer" in (there["gold"], there["tin"])
+            # The first one's file becomes the other's, but for its name server.
+            one.changes["settings"] = GOLD
+            one.write(one.program.told.resolver[1])
+            one.program.read_again()
+            assert await classes(lines[0], 0x30) == here
+
+            def fall(*_: object) -> list[Any]:
+                raise RuntimeError("planted")
+
+            one.program.driver.policy.take = fall  # type: ignore[method-assign]
+            lines[0].set_up("00000000000000ff")
+            told = [await lines[0].hear() for _ in range(3)]
+            assert [message["type"] for message in told] == ["release"] * 3, "what played, and what came"
+            assert await classes(lines[0], 0x40) == here
+            rungs = {m.parameters[frames.RUNG] for h in other.hosts for m in h.of(frames.SETUP)}
+            assert rungs <= {b"0", b"1"} and other.program.told.terms.plans[0].floor == 1
+
+    asyncio.run(whole())
+
+
+def drive(gateways: Iterable[tuple[Gateway, list[Any]]], steps: int) -> None:
+    """The same events to each, in turn; what each does is noted."""
+    now = 1_000_000_000_000
+    for gateway, did in gateways:
+        did += gateway.begin(now)
+        rows = tuple(api.HostRow(n, 0, 0, n % 4, api.Standing.READY, 1.0, 0) for n in range(4))
+        did += gateway.take(now, api.Listed(api.Scope.COMPLETE, rows))
+    for step in range(1, steps):
+        now += 150_000_000
+        for gateway, did in gateways:
+            did += gateway.take(now, api.Arrived(api.Request(step, 0, 1.0, 0, 4, step % 3, step, 10**9)))
+            for action in list(did[-3:]):
+                if isinstance(action, api.SetUp) and action.pb == step:
+                    did += gateway.take(now, api.Flowing(step, 0, action.host, 1000))
+                    did += gateway.take(now, api.Note(step, 0, action.host, api.News.SHARE, 0.7))
+            did += gateway.take(now, api.Bell(0))
+
+
+def test_gateways_of_two_customers_side_by_side_decide_as_each_alone(tmp_path: Path) -> None:
+    async def terms() -> list[api.Terms]:
+        found = []
+        for name, changes in (("a", {}), ("b", {"settings": GOLD})):
+            (tmp_path / name).mkdir()
+            async with platform(tmp_path / name, **changes) as one:
+                found.append(one.program.told.terms)
+        return found
+
+    both = asyncio.run(terms())
+    alone: list[list[Any]] = [[], []]
+    for one, did in zip(both, alone, strict=True):
+        drive([(Gateway(one, 5, 0), did)], 60)
+    beside: list[list[Any]] = [[], []]
+    drive([(Gateway(one, 5, 0), did) for one, did in zip(both, beside, strict=True)], 60)
+    assert beside == alone and alone[0] != alone[1]
