Idle connections to other hosts make room for one that is needed

Seen on reading: with the hosts' descriptors all held by idle connections a set-up to a host without one ended as never sent, until the idle ones closed (30 s). hosts.py, room. Change: the one that has been idle longest, carries nothing and is not the last that could tell of what stands is closed.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -447,6 +447,10 @@
         elif call.stood:
             self.tell(frames.release(call.session))
 
+    def spares(self, link: Link) -> bool:
+        """Whether it carries nothing, and is not the last that could tell of what stands here."""
+        return not link.out and not link.tests and not (len(self.links) == 1 and self.stands())
+
     def tell(self, data: bytes) -> None:
         """Send what concerns something that stands, on any connection."""
         links = self.open_links() or [link for link in self.links if link.state == "leaving"]
@@ -555,8 +559,7 @@
         elif now - self.heard >= SILENT and not self.coming:
             self.dial()
         for link in self.open_links():
-            last = len(self.links) == 1 and self.stands()
-            if not last and not link.out and not link.tests and not self.fresh(link, now):
+            if not self.fresh(link, now) and self.spares(link):
                 link.close("retired")
 
 
@@ -599,8 +602,13 @@
         self._loop.call_soon(self._loop.call_soon, work)
 
     def room(self) -> bool:
-        """Whether there is a descriptor for one more connection."""
-        return self.opened < self.wired.most
+        """Whether there is a descriptor for one more connection, if need be that of an idle one elsewhere."""
+        if self.opened < self.wired.most:
+            return True
+        idle = [link for host in self.hosts.values() for link in host.open_links() if host.spares(link)]
+        if idle:
+            min(idle, key=lambda link: link.used).close("retired")
+        return bool(idle)
 
     def listed(self, entries: list[Entry], gone: Callable[[Entry], bool]) -> None:
         """The list has changed so; `turn_away` follows once the decisions know."""
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -404,6 +404,23 @@
     run(work, tmp_path, 1)
 
 
+def test_idle_connections_to_other_hosts_make_room_for_one_that_is_needed(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        first, second, third = one.hosts
+        one.program.hosts.wired = one.program.hosts.wired._replace(most=2)
+        for host in (first, second):
+            known(one, host).dial()
+        await until(lambda: first.links and second.links)
+        for host in (first, second):
+            host.does = lambda message: release(message.session, 34)
+        line = await one.line()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer" and third.links
+        assert one.program.hosts.opened <= 2
+
+    run(work, tmp_path, 3)
+
+
 # The list.
 
 
