Host connections: an EOF ends them at once, and what crosses a close is said again

Found by writing the table of events against states, each with a test that fails without its fix: - Between a host's EOF or an error and connection_lost, a turn of the loop later, a connection counted as open: a set-up written then was dropped and ended as one that may have run (hosts.py, open_links, eof_received). - A release written within 50 ms before such a close was never heard, and what it ended stood on; it is said again on the next connection, as the viewers' side does. - An attempt that waited for a connection when the list told of the host's new start was sent to the cold process or ended as broken; it was never sent, and says so (restarted). - Room was made by closing the viewer idle longest though its set-up lay in the socket; so did the close of silent connections.

--- a/benchmarks/coldpace.py
+++ b/benchmarks/coldpace.py
@@ -39,7 +39,7 @@
 TERMS = api.Terms(
     1, 0, 0, 10 * MS, (PLAN,), api.Ladder((300.0, 600.0, 1300.0, 3000.0), (0.2, 0.5, 0.75, 1.0)),
     api.Lineup(CELLS, 4, 8000.0, 60_000.0, (30,), False, False, True, SECOND, 6.0),
-    api.Allowed(True, True, 3, False, 0, False, 10 * SECOND),
+    api.Allowed(True, True, 3, False, 0, False, 10 * SECOND, CONNECT),
     api.HouseRules(0.5, 10 * SECOND, 3.0, 2 * SECOND, None, 0.0, 0),
 )  # fmt: skip
 
--- a/burlmast/node/door.py
+++ b/burlmast/node/door.py
@@ -201,10 +201,13 @@
     def make_room(self) -> bool:
         """Close the connection that is missed least; False where something is asked on each."""
         idle = [one for one in self.viewers if not one.open and one.usable]
-        if idle:
+        idle.sort(key=lambda one: (one.standing(self.now()), one.heard))
+        # Danger: what has written already and was not read yet is idle no longer.
+        chosen = next((one for one in idle if not one.waiting()[1]), idle[0] if idle else None)
+        if chosen is not None:
             self.counts["closed for room"] += 1
-            min(idle, key=lambda one: (one.standing(self.now()), one.heard)).close()
-        return bool(idle)
+            chosen.close()
+        return chosen is not None
 
     def abandoned(self, viewer: Viewer) -> None:
         """The other side of a connection has closed it: what is asked on it is given up."""
@@ -246,8 +249,9 @@
                 assert viewer.transport is not None
                 viewer.transport.abort()
             elif (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
-                self.counts["closed unsound"] += 1
-                viewer.close()
+                if not viewer.waiting()[1]:
+                    self.counts["closed unsound"] += 1
+                    viewer.close()
         if not self._closed:
             self._loop.call_later(SWEEP / 1e9, self.sweep)
 
--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -22,6 +22,7 @@
 # A host that was silent for half of that is dialled; two failures in a row, and it is gone.
 SILENT = 4_000 * MS
 GONE_AFTER = 2
+CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
 CARRIED = 32  # set-ups on a connection after which a second answer to the first is no longer expected
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
@@ -106,6 +107,7 @@
         self.stuck_since = 0  # since when half a message is waited for
         self.used = host.side.now()  # when something last passed on it
         self.carried: deque[int] = deque(maxlen=CARRIED)  # playbacks whose set-ups it has carried lately
+        self.said: deque[tuple[int, bytes]] = deque(maxlen=CARRIED)  # lately, of what stands
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -166,16 +168,28 @@
             self.close("not understood")
 
     def eof_received(self) -> bool:
+        # Danger: the transport says so a turn of the loop later, and what is written until then is lost.
+        self.close("connection lost")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.close("connection lost")
 
+    @property
+    def usable(self) -> bool:
+        """Whether something can be written on it."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def write(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.used = self.host.side.now()
             self.transport.write(data)
 
+    def say(self, data: bytes) -> None:
+        """Write what concerns something that stands, and has to be said elsewhere if it crosses a close."""
+        self.said.append((self.host.side.now(), data))
+        self.write(data)
+
     def close(self, why: str) -> None:
         """What is out on it has ended so; what stands belongs to no connection."""
         if self.state == "closed":
@@ -212,7 +226,7 @@
     # Connections.
 
     def open_links(self) -> list[Link]:
-        return [link for link in self.links if link.state == "open"]
+        return [link for link in self.links if link.state == "open" and link.usable]
 
     def fresh(self, link: Link, now: int) -> bool:
         """Whether its host does not close it for being idle while something is on its way there."""
@@ -249,7 +263,7 @@
         self.failures = 0
         self.heard = self.side.now()
         for data in self.backlog:
-            link.write(data)
+            link.say(data)
         self.backlog.clear()
         tests, self.tests = self.tests, []
         for session, began in tests:
@@ -348,6 +362,10 @@
             test.timer.cancel()
             took = max(0, self.side.now() - test.began)
             self.side.ear.probed(self.number, Ending.BROKEN, took, api.Load())
+        said, link.said = link.said, deque(maxlen=CARRIED)
+        for at, data in said if why == "connection lost" else ():
+            if self.side.now() - at < CROSSING:
+                self.tell(data)
         if why == "connection lost" and self.stands() and not self.coming:
             # Danger: a process that dies may reset one connection at once and another seconds later.
             self.dial()
@@ -453,9 +471,9 @@
 
     def tell(self, data: bytes) -> None:
         """Send what concerns something that stands, on any connection."""
-        links = self.open_links() or [link for link in self.links if link.state == "leaving"]
+        links = self.open_links() or [link for link in self.links if link.state == "leaving" and link.usable]
         if links:
-            links[0].write(data)
+            links[0].say(data)
         elif self.listed:
             self.backlog.append(data)
             if not self.coming:
@@ -643,7 +661,9 @@
         host = self.hosts.get(number)
         if host is not None:
             for call in [one for one in host.calls.values() if one.one.sent_at < at]:
-                host.finish(call, BINARY_ENDS[41], api.Load())
+                # Danger: what was meant for the warm process may be too much for the cold one.
+                unsent = not call.written and not call.stood
+                host.finish(call, BINARY_ENDINGS["not sent", None] if unsent else BINARY_ENDS[41], api.Load())
 
     def open_try(self, one: Try, sent: Sent) -> None:
         """Send a set-up."""
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -31,6 +31,8 @@
 from burlmast.node import frames
 from burlmast.node.frames import Frame
 from burlmast.node.hosts import Link, MediaHost
+from burlmast.node.lines import Line as Message
+from burlmast.node.lines import LineReader
 
 OTHER = "00000000000000aa"
 SESSION = int(ID, 16)
@@ -77,6 +79,11 @@
     return json.dumps({"type": "setup", "id": name, "fields": fields, "sdp": SDP}).encode() + b"\n"
 
 
+def read(raw: bytes) -> Message:
+    (found,), _ = LineReader().feed(raw)
+    return found
+
+
 def given_up(name: str) -> bytes:
     return json.dumps({"type": "release", "id": name, "fields": {}, "cause": 16}).encode() + b"\n"
 
@@ -333,9 +340,75 @@
     run(work, tmp_path, 1, settings=settings)
 
 
+def test_a_release_that_crosses_its_hosts_close_is_said_again(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        (carrier,) = host.links
+        gateway = known(one, host)
+        (link,) = gateway.links
+        # The gateway writes the release on a connection that the host resets before it reads.
+        carrier.transport.pause_reading()
+        line.say("release", cause=16)
+        await until(lambda: link.said)
+        carrier.transport.abort()
+        await until(lambda: host.of(frames.RELEASE))
+        assert host.of(frames.RELEASE)[0].session == SESSION
+
+    run(work, tmp_path, 1)
+
+
+def test_no_set_up_is_lost_on_a_connection_that_its_host_has_closed(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        (link,) = known(one, host).links
+        assert link.transport is not None
+        seen: list[str] = []
+        real = one.program.hosts.ear.ended
+
+        def ended(attempt: Any, ending: Any, load: Any) -> None:
+            seen.append(ending.value)
+            real(attempt, ending, load)
+
+        one.program.hosts.ear.ended = ended  # type: ignore[method-assign]
+        # As after an EOF or an error: the transport is closing, and says so only in the loop's next turn.
+        link.transport.close()
+        one.program.door.heard(next(iter(one.program.door.viewers)), read(asked(OTHER)))
+        assert (await line.hear())["id"] == OTHER
+        assert seen == [] and len(set_ups(one, OTHER)) == 1
+
+    run(work, tmp_path, 1)
+
+
+def test_what_waits_for_a_host_that_starts_anew_is_not_sent_to_the_cold_process(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        (host,) = one.hosts
+        gate = Gate(host.port)
+        line = await one.line()
+        line.set_up(left="2900")
+        await until(lambda: gate.held)
+        at = known(one, host)
+        (call,) = at.calls.values()
+        one.program.hosts.restarted(at.number, one.program.now() + 1)
+        assert call.one.ending is not None and call.one.ending.value == "moot"
+
+    run(work, tmp_path, 1, settings=PATIENT)
+
+
 # Descriptors.
 
 
+def test_room_is_not_made_by_closing_a_connection_whose_set_up_was_not_read_yet(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, _ = await playing(one)
+        other, _ = await playing(one, OTHER)
+        third = "00000000000000bb"
+        line.raw(asked(third))  # it lies in the socket, and the connection has been idle longest
+        assert one.program.door.make_room()
+        assert (await line.hear())["id"] == third and await other.hear() == {}
+
+    run(work, tmp_path, 1)
+
+
 def test_a_burst_of_silent_viewers_never_goes_over_the_share_and_a_real_one_is_served(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         door, most = one.program.door, one.program.told.parts.viewers
