--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -142,7 +142,7 @@
     # The list.
 
     def _answered(self, serial: int, entries: list[Entry]) -> bool:
-        changed = self.roster.answered(serial, entries)
+        changed = self.roster.answered(serial, entries, self.now())
         if changed:
             self._list(Scope.CHANGES, self.roster.rows(changed), changed)
         if changed is not None:
--- a/burlmast/node/roster.py
+++ b/burlmast/node/roster.py
@@ -33,18 +33,26 @@
         self.entries = {name: one for name, one in self.entries.items() if one.standing is not Standing.GONE}
         self.serial = serial
 
-    def answered(self, serial: int, entries: list[Entry]) -> list[Entry] | None:
-        """What has changed by a whole list; None where it is older than what is known."""
+    def answered(self, serial: int, entries: list[Entry], at: int) -> list[Entry] | None:
+        """What has changed by a whole list heard `at`; None where it is older than what is known.
+
+        A host at another address than before is another process: it has begun at the latest by then."""
         if serial < self.serial:
             return None
         now = {entry.name: entry for entry in entries}
-        changed = [entry for name, entry in now.items() if self.entries.get(name) != entry]
+        changed = [self._moved(entry, at) for name, entry in now.items() if self.entries.get(name) != entry]
         changed += [
             one._replace(standing=Standing.GONE) for name, one in self.entries.items() if name not in now
         ]
         self.serial, self.entries = serial, now
         return changed
 
+    def _moved(self, entry: Entry, at: int) -> Entry:
+        known = self.entries.get(entry.name)
+        if known is None or known.address == entry.address or entry.started > known.started:
+            return entry
+        return entry._replace(started=at)
+
     def settled(self, now: int) -> bool:
         """Whether a list heard now holds all that happened before the own start, by the platform's word."""
         # An answer may have been asked for by so much earlier.
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -137,13 +137,24 @@
     roster = Roster(["west", "east"], ["std"], 0)
     roster.start(4, [[one]])
     assert roster.whole()[0] is Scope.CACHED
-    changed = roster.answered(serial, entries)
+    changed = roster.answered(serial, entries, 9)
     assert changed == [entries[1]] and roster.rows(changed)[0].zone == 1
-    assert roster.answered(4, []) is None, "an older list counts for nothing"
-    gone = roster.answered(6, [entries[1]])
+    assert roster.answered(4, [], 9) is None, "an older list counts for nothing"
+    gone = roster.answered(6, [entries[1]], 9)
     assert gone is not None and [(g.name, g.standing) for g in gone] == [("s-1", Standing.GONE)]
 
 
+def test_a_host_at_another_address_is_another_process_that_begins_then() -> None:
+    roster = Roster(["east"], ["std"], 0)
+    one = read_answer(reply(query(7), 5, ROWS), 7)[1][0]
+    roster.start(4, [[one]])
+    there = one._replace(address=("127.0.0.1", 9))
+    assert roster.answered(5, [there], 77) == [there._replace(started=77)]
+    assert roster.answered(6, [there], 88) == [], "once"
+    later = one._replace(started=99)
+    assert roster.answered(7, [later], 100) == [later], "the list's own word goes first"
+
+
 @given(st.integers(0, 2000), st.integers(1, 255))
 def test_a_spoilt_answer_is_unsound_or_a_list_and_nothing_else(place: int, change: int) -> None:
     raw = bytearray(reply(query(7), 5, ROWS))
