Eight processes at a host that has just started: their sum stays within what it bears

Need: the cold host falls under the sum of all processes' sends, shown with processes, uneven crowds, kills and late connections. Change: a test that starts eight gateways at one cold host, alone, with four of them killed and started again, and with connections that say nothing for 0.2 s; stand-ins can tell a start and be late.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -75,10 +75,13 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(
+            lambda reader, writer: self.serve(reader, writer), "127.0.0.1", self.port
+        )
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One connection, to its end."""
         self.links.append(writer)
         taken = FrameReader()
         try:
@@ -115,18 +118,19 @@
         self.rows: dict[str, tuple[int, int]] = {}  # port and priority
         self.spoil: Callable[[bytes], bytes | None] = lambda raw: raw
         self.asked = 0
+        self.started = 0.0  # of every host, a Unix millisecond
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport: Any = transport
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         self.asked += 1
-        raw = self.spoil(reply(data, self.serial, self.rows))
+        raw = self.spoil(reply(data, self.serial, self.rows, self.started))
         if raw is not None:
             self.transport.sendto(raw, addr)
 
 
-def reply(question: bytes, serial: int, rows: dict[str, tuple[int, int]]) -> bytes:
+def reply(question: bytes, serial: int, rows: dict[str, tuple[int, int]], started: float = 0.0) -> bytes:
     """What a name server says to a question."""
     told = dns.message.make_response(dns.message.from_wire(question))
     for place, (name, (port, priority)) in enumerate(rows.items()):
@@ -135,7 +139,7 @@
             dns.rrset.from_text(f"{SERVICE}.", 0, "IN", "SRV", f"{priority} 10 {port} {target}")
         )
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "A", "127.0.0.1"))
-        texts = f'"kind=std" "cell={place % 4}" "started=0"'
+        texts = f'"kind=std" "cell={place % 4}" "started={started:.3f}"'
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "TXT", texts))
     soa = f"ns.fleet.local. root.fleet.local. {serial} 1 1 1 1"
     told.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import resource
 import shlex
@@ -74,6 +75,8 @@
             await asyncio.sleep(0.02)
 
     def end(self) -> None:
+        if self.log.closed:
+            return
         self.process.kill()
         self.process.wait()
         self.log.close()
@@ -207,6 +210,79 @@
     asyncio.run(whole())
 
 
+COLD = {
+    **SETTINGS,
+    "familyInfo": {
+        **SETTINGS["familyInfo"], "kindStreams": [100], "kbPerWeight": 80_000.0, "rackKb": 200_000.0,
+    },
+    "rules": {**SETTINGS["rules"], "warmAfterMs": 20_000.0},
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("trouble", ["none", "killed and back", "late connections"])
+def test_many_processes_together_do_not_push_a_cold_host_over(tmp_path: Path, trouble: str) -> None:
+    number, span = 8, COLD["rules"]["fallMs"] / 1000
+    bears = COLD["rules"]["fallMultiple"] * COLD["rules"]["coldFrom"] * 100 / 20 * span
+
+    async def ask(line: Line, first: int, apart: float) -> None:
+        """Ask for more than can be had: an uneven crowd."""
+        for place in range(int(7 / apart)):
+            line.set_up(f"{first + place:016x}", left="900", key=f"{place:x}")
+            await asyncio.sleep(apart)
+
+    async def whole() -> None:
+        async with platform(tmp_path, 1, settings=COLD) as one:
+            (host,) = one.hosts
+            came: list[float] = []
+            host.does = lambda message: came.append(time.monotonic()) or answer(message)  # type: ignore[func-returns-value]
+            if trouble == "late connections":
+                served = host.serve
+
+                async def later(*streams: Any) -> None:
+                    await asyncio.sleep(0.2)  # it reads nothing of a connection's first moments
+                    await served(*streams)
+
+                host.serve = later  # type: ignore[method-assign]
+            told = json.loads(one.path.read_text())
+            (row,) = told["known"]["notices"][0]["pool"]["instances"]
+            row["startedAtMs"] = time.time() * 1000
+            told["settings"]["siblings"] = number
+            one.names.started = row["startedAtMs"]
+            found: list[Node] = []
+
+            def start(slot: int) -> Node:
+                told["settings"]["slotNo"] = slot
+                path = tmp_path / f"config-{slot}.json"
+                path.write_text(json.dumps(told))
+                found.append(Node(path))
+                return found[-1]
+
+            try:
+                running = [start(slot) for slot in range(number)]
+                lines = [await node.line() for node in running]
+                crowd = [
+                    asyncio.ensure_future(ask(line, 1000 * slot, 0.04 * (1 + slot)))
+                    for slot, line in enumerate(lines)
+                ]
+                await until(lambda: len(came) > 10)
+                if trouble == "killed and back":
+                    for slot in range(0, number, 2):
+                        running[slot].end()
+                        line = await start(slot).line()
+                        lines.append(line)
+                        crowd.append(asyncio.ensure_future(ask(line, 100_000 + 1000 * slot, 0.05)))
+                await asyncio.gather(*crowd)
+                most = max(sum(1 for at in came if end - span <= at <= end) for end in came)
+                assert 10 < most <= bears + 2 * bears**0.5 + 2
+                for line in lines:
+                    line.writer.close()
+            finally:
+                for node in found:
+                    node.end()
+
+    asyncio.run(whole())
+
+
 # Customers.
 
 GOLD = {
