The node's names are the field's: connections, attempts, probes, viewers' listener

Change, nothing else: Link, Call, Test, Ear in hosts.py are HostConnection, HostAttempt, SentProbe, HostCallbacks; door.py with Door and Viewer is viewers.py with ViewerListener and ViewerConnection; told, heard, said, owed, came and went there are configuration, received, sent_lately, pending, connected, disconnected. Protocol fields, commands and settings as before; Try, alarms and the attendant stay with burlmast/edge.

--- a/burlmast/node/listener.py
+++ b/burlmast/node/acceptor.py
@@ -6,24 +6,24 @@
 import socket
 
 from burlmast.node.descriptors import BATCH, SHORTAGE
-from burlmast.node.door import SWEEP, Door, Viewer
+from burlmast.node.viewers import SWEEP, ViewerConnection, ViewerListener
 
 BACKLOG = 1024  # that wait to be accepted
 
 
-class Listener:
+class Acceptor:
     """The listening socket. The loop's own server would take all that wait at once, whatever is left."""
 
-    def __init__(self, address: tuple[str, int], door: Door) -> None:
+    def __init__(self, address: tuple[str, int], listener: ViewerListener) -> None:
         """Must be made on a running loop. Raises OSError where it cannot listen."""
-        self._loop, self._door = asyncio.get_running_loop(), door
+        self._loop, self._listener = asyncio.get_running_loop(), listener
         self._socket = socket.create_server(address, backlog=BACKLOG)
         self._socket.setblocking(False)
         self._tasks: set[asyncio.Task[None]] = set()
         self._open = self._reading = False
         self._retry: asyncio.TimerHandle | None = None
         self.port: int = self._socket.getsockname()[1]
-        door.freed = self.resume
+        listener.freed = self.resume
 
     def start(self) -> None:
         """Begin to accept."""
@@ -32,7 +32,7 @@
 
     def resume(self) -> None:
         """Accept again, if there is room."""
-        if self._open and not self._reading and self._retry is None and not self._door.full:
+        if self._open and not self._reading and self._retry is None and not self._listener.full:
             self._reading = True
             self._loop.add_reader(self._socket, self._accept)
 
@@ -51,7 +51,7 @@
 
     def _accept(self) -> None:
         for _ in range(BATCH):
-            if self._door.full:
+            if self._listener.full:
                 self._pause()
                 return
             try:
@@ -61,14 +61,14 @@
             except OSError as why:
                 if why.errno not in SHORTAGE:
                     raise
-                self._door.remark("no descriptor for a viewer")
+                self._listener.remark("no descriptor for a viewer")
                 self._pause()
                 # Danger: those who wait behind a crowd of idle ones must not wait for each of them in turn.
-                soon = self._door.make_room()
+                soon = self._listener.make_room()
                 self._retry = self._loop.call_later(0 if soon else SWEEP / 1e9, self._again)
                 return
             one.setblocking(False)
-            self._door.accepted += 1
+            self._listener.accepted += 1
             task = self._loop.create_task(self._take(one))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -79,8 +79,8 @@
 
     async def _take(self, one: socket.socket) -> None:
         try:
-            await self._loop.connect_accepted_socket(lambda: Viewer(self._door), one)
+            await self._loop.connect_accepted_socket(lambda: ViewerConnection(self._listener), one)
         except OSError:
             one.close()
         finally:
-            self._door.accepted -= 1
+            self._listener.accepted -= 1
--- a/burlmast/node/descriptors.py
+++ b/burlmast/node/descriptors.py
@@ -23,9 +23,9 @@
 def parts(sockets: int) -> Parts:
     """How so many descriptors are shared out.
 
-    Viewers hold a third of them by the platform's word; the door has room above that, so that those who only
-    hold connections push nobody out. What is left besides is for the process itself and for those who have
-    been accepted and not been looked at yet."""
+    Viewers hold a third of them by the platform's word; their listener has room above that, so that those who
+    only hold connections push nobody out. What is left besides is for the process itself and for those who
+    have been accepted and not been looked at yet."""
     hosts = max(1, min(sockets // 3, sockets - OWN - 2 * BATCH))
     return Parts(viewers=max(1, min(sockets // 2, sockets - hosts - OWN - BATCH)), hosts=hosts)
 
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -16,13 +16,13 @@
 from burlmast.edge.attendant import Attendant
 from burlmast.edge.driver import Driver, Final, Playback, Try
 from burlmast.logic import Gateway
+from burlmast.node.acceptor import Acceptor
 from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
-from burlmast.node.door import Door, Viewing
 from burlmast.node.hosts import HostsSide, Wired
-from burlmast.node.listener import Listener
 from burlmast.node.names import Entry
 from burlmast.node.resolver import Resolver
 from burlmast.node.roster import TOLD_BY, Roster
+from burlmast.node.viewers import ViewerListener, Viewing
 
 BAD_CONFIGURATION = 2
 LINES = 50  # of one kind in the log; it counts as memory
@@ -44,24 +44,36 @@
 
 
 class Program(Attendant):
-    """One gateway. It is the driver's outside and the hosts' ear."""
+    """One gateway. It is the driver's outside and the callbacks of the hosts."""
 
-    def __init__(self, path: Path, told: Configuration) -> None:
+    def __init__(self, path: Path, configuration: Configuration) -> None:
         """Must be made on a running loop."""
-        self.path, self.told = path, told
+        self.path, self.configuration = path, configuration
         super().__init__()
-        self.log = Log(told.name)
+        self.log = Log(configuration.name)
         self.done: asyncio.Future[int] = self.loop.create_future()
-        self.roster = Roster(told.zones, told.kinds, self.now())
-        self.roster.start(told.serial, told.events)
-        wired = Wired(told.connect, told.idle, told.parts.hosts, told.streams, told.report)
+        self.roster = Roster(configuration.zones, configuration.kinds, self.now())
+        self.roster.start(configuration.serial, configuration.events)
+        wired = Wired(
+            configuration.connect,
+            configuration.idle,
+            configuration.parts.hosts,
+            configuration.streams,
+            configuration.report,
+        )
         self.hosts = HostsSide(wired, self, self.now)
-        self.door = Door(told, self.now, self.log.say, told.parts.viewers)
-        self.door.arm = self.arm
-        self.door.stands = self.hosts.stands
-        self.door.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
+        self.listener = ViewerListener(configuration, self.now, self.log.say, configuration.parts.viewers)
+        self.listener.arm = self.arm
+        self.listener.stands = self.hosts.stands
+        self.listener.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
         self.resolver = Resolver(
-            told.resolver, told.seed, self.now, self._answered, self._heard, self.log.say, self.door.make_room
+            configuration.resolver,
+            configuration.seed,
+            self.now,
+            self._answered,
+            self._heard,
+            self.log.say,
+            self.listener.make_room,
         )
         self._lives = 0
         self._beginning = False
@@ -69,7 +81,7 @@
 
     def begin(self) -> None:
         """Decisions that know only the list."""
-        told, seed = self.told, self.told.seed + self._lives
+        told, seed = self.configuration, self.configuration.seed + self._lives
         self._lives += 1
         self._beginning = True
         try:
@@ -79,10 +91,10 @@
                 str,
                 told.terms.allowed.tries,
                 None,
-                self.door.viewing,
+                self.listener.viewing,
                 self.now(),
             )
-            self.door.driver = self.driver
+            self.listener.driver = self.driver
             self._list(*self.roster.whole(), list(self.roster.entries.values()))
         finally:
             self._beginning = False
@@ -94,28 +106,28 @@
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
         # Danger: until here SIGHUP was ignored, and the file may have been replaced since it was read.
         self.read_again()
-        self.listener = Listener(self.told.listen, self.door)
-        self.port = self.listener.port
-        self.listener.start()
+        self.acceptor = Acceptor(self.configuration.listen, self.listener)
+        self.port = self.acceptor.port
+        self.acceptor.start()
         self.resolver.start()
-        self.door.sweep()
+        self.listener.sweep()
         # Viewers are not kept waiting for a name server that says nothing.
         self.loop.call_later(2 * TOLD_BY / 1e9, self._ready, "has waited long enough for the name server")
         gc.collect()
         gc.freeze()
-        self.log.say(f"listens at {self.told.listen[0]}:{self.port}")
+        self.log.say(f"listens at {self.configuration.listen[0]}:{self.port}")
 
     def close(self) -> None:
         """Close every socket."""
-        self.listener.close()
+        self.acceptor.close()
         self.resolver.close()
-        self.door.close()
+        self.listener.close()
         self.hosts.close()
         self.disarm()
 
     def _ready(self, why: str) -> None:
-        if not self.door.ready:
-            self.door.ready = True
+        if not self.listener.ready:
+            self.listener.ready = True
             self.log.say(f"ready: {why}")
 
     # Signals.
@@ -130,7 +142,11 @@
         except BadConfiguration as why:
             self.log.say(f"the old configuration stands: {why}")
             return
-        if (told.terms, told.plans, told.parts) != (self.told.terms, self.told.plans, self.told.parts):
+        if (told.terms, told.plans, told.parts) != (
+            self.configuration.terms,
+            self.configuration.plans,
+            self.configuration.parts,
+        ):
             self.log.say("other settings in the new configuration: they count from the next start")
         if self.resolver.move(told.resolver):
             self.log.say(f"the name server is at {told.resolver[0]}:{told.resolver[1]}")
@@ -185,13 +201,13 @@
         """The name server is always asked."""
 
     def answer(self, playback: Playback, final: Final) -> None:
-        self.door.answer(playback, final)
+        self.listener.answer(playback, final)
 
     def over(self, playback: Playback) -> None:
-        self.door.over(playback)
+        self.listener.over(playback)
 
     def moved(self, now: int, playback: Playback) -> None:
-        self.door.moved(playback)
+        self.listener.moved(playback)
 
     def hidden(self, playback: Playback) -> None:
         """Nothing is shown here."""
@@ -204,28 +220,28 @@
         for playback in list(self.driver.held.values()):
             if playback.state == "playing":
                 playback.state = "over"
-                self.door.over(playback)
+                self.listener.over(playback)
         # An end of this process would void more than what these decisions held. What comes before new ones
         # are there is refused, since the old ones would never answer it.
-        self.door.driver = None
+        self.listener.driver = None
         if self._beginning:
             self.loop.call_soon(self.begin)
         else:
             self.begin()
 
-    # The hosts' ear.
+    # The callbacks of the hosts.
 
     def wanted(self, one: Try) -> bool:
-        """See `hosts.Ear`."""
-        return self.door.wanted(one.playback)
+        """See `hosts.HostCallbacks`."""
+        return self.listener.wanted(one.playback)
 
     def unread(self, one: Try) -> bool:
-        """See `hosts.Ear`."""
-        return self.door.unread(one.playback)
+        """See `hosts.HostCallbacks`."""
+        return self.listener.unread(one.playback)
 
     def shortage(self) -> None:
-        """See `hosts.Ear`."""
-        self.door.make_room()
+        """See `hosts.HostCallbacks`."""
+        self.listener.make_room()
 
 
 async def serve(path: Path, told: Configuration) -> int:
--- a/burlmast/node/door.py
+++ b/burlmast/node/viewers.py
@@ -40,7 +40,7 @@
 
     __slots__ = ("sent", "viewer")
 
-    def __init__(self, sent: Sent, viewer: Viewer | None) -> None:
+    def __init__(self, sent: Sent, viewer: ViewerConnection | None) -> None:
         self.sent = sent
         self.viewer = viewer  # the connection that asked, if any
 
@@ -54,19 +54,19 @@
         """See `driver.Shown`."""
 
 
-class Viewer(asyncio.BufferedProtocol):
+class ViewerConnection(asyncio.BufferedProtocol):
     """One connection from viewers."""
 
-    def __init__(self, door: Door) -> None:
-        self.door = door
+    def __init__(self, listener: ViewerListener) -> None:
+        self.listener = listener
         self.reader = LineReader()
         self.transport: asyncio.Transport | None = None
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
-        self.began = self.heard = door.now()
+        self.began = self.last_received = listener.now()
         self.sound = False
         self.asked = 0  # sound set-ups on it
         self.partial_since = 0
-        self.said: deque[tuple[int, bytes]] = deque(maxlen=64)  # lately, of what stood
+        self.sent_lately: deque[tuple[int, bytes]] = deque(maxlen=64)  # lately, of what stood
         self.closing_since = 0
         self._poll = select.poll()
 
@@ -74,7 +74,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        self.door.came(self)
+        self.listener.connected(self)
 
     def waiting(self) -> tuple[bool, bool]:
         """Whether the other side has closed, and whether something of it has not been read, by the socket."""
@@ -90,17 +90,17 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self.transport is None or self.transport.is_closing():
             return
-        self.heard = self.door.now()
+        self.last_received = self.listener.now()
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
-        self.partial_since = (self.partial_since or self.heard) if self.reader.partial else 0
+        self.partial_since = (self.partial_since or self.last_received) if self.reader.partial else 0
         try:
             for line in self._standing_by(found):
-                self.door.heard(self, line)
+                self.listener.received(self, line)
         except Exception as why:
-            self.door.remark(f"a connection is closed: {type(why).__name__}: {why}")
+            self.listener.remark(f"a connection is closed: {type(why).__name__}: {why}")
             self.close()
         if wrong is not None:
-            self.door.counts["unreadable"] += 1
+            self.listener.counts["unreadable"] += 1
             self.close()
 
     def _standing_by(self, found: list[Line]) -> list[Line]:
@@ -110,21 +110,21 @@
         ends = {line.id: place for place, line in enumerate(found) if line.type == "release"}
         kept = []
         for place, line in enumerate(found):
-            if line.type == "setup" and ends.get(line.id, -1) > place and line.id not in self.door.known:
+            if line.type == "setup" and ends.get(line.id, -1) > place and line.id not in self.listener.known:
                 self.sound = True
-                self.door.counts["given up at once"] += 1
+                self.listener.counts["given up at once"] += 1
             else:
                 kept.append(line)
         return kept
 
     def eof_received(self) -> bool:
         # Danger: the transport waits for what it has yet to write before it says that this one is gone.
-        self.door.abandoned(self)
-        self.closing_since = self.door.now()
+        self.listener.abandoned(self)
+        self.closing_since = self.listener.now()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.door.went(self)
+        self.listener.disconnected(self)
 
     def standing(self, now: int) -> int:
         """Who goes first where room is short: the silent, who asked once, who has just come, the others.
@@ -143,12 +143,12 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
             if self.transport.get_write_buffer_size() > WRITE_MOST:
-                self.door.counts["slow readers"] += 1
+                self.listener.counts["slow readers"] += 1
                 self.transport.abort()
 
     def say(self, data: bytes) -> None:
         """Write what has to be said on another connection if this one is closing already."""
-        self.said.append((self.door.now(), data))
+        self.sent_lately.append((self.listener.now(), data))
         self.write(data)
 
     def close(self) -> None:
@@ -156,26 +156,28 @@
         for name, playback in list(self.open.items()):
             self.write(lines.release(name, lines.FAILED))
             playback.reply = None
-            self.door.leave(playback)
+            self.listener.leave(playback)
         if self.transport is not None:
-            self.closing_since = self.closing_since or self.door.now()
+            self.closing_since = self.closing_since or self.listener.now()
             self.transport.close()
 
 
-class Door:
+class ViewerListener:
     """All viewers."""
 
     def __init__(
-        self, told: Configuration, now: Callable[[], int], remark: Callable[[str], None], most: int
+        self, configuration: Configuration, now: Callable[[], int], remark: Callable[[str], None], most: int
     ) -> None:
-        self.told, self.now, self.remark, self._most = told, now, remark, most
+        self.configuration, self.now, self.remark, self._most = configuration, now, remark, most
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
         self.stands: Callable[[Try, Sent], None] | None = None
         self.host_number: Callable[[str], int] | None = None
-        self.viewers: dict[Viewer, None] = {}  # in the order in which they came
+        self.viewers: dict[ViewerConnection, None] = {}  # in the order in which they came
         self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
-        self.owed: deque[bytes] = deque(maxlen=told.parts.viewers)  # releases that found no connection
+        self.pending: deque[bytes] = deque(
+            maxlen=configuration.parts.viewers
+        )  # releases that found no connection
         self.counts: Counter[str] = Counter()
         self.accepted = 0  # connections that the listener has taken and that are not here yet
         self.freed: Callable[[], None] = lambda: None  # after a connection has gone
@@ -190,18 +192,18 @@
         """Whether no connection may be accepted until one of those that are here is closed."""
         return len(self.viewers) + self.accepted >= self._most + BATCH
 
-    def came(self, viewer: Viewer) -> None:
+    def connected(self, viewer: ViewerConnection) -> None:
         """A connection is there."""
         self.viewers[viewer] = None
         if sum(1 for one in self.viewers if one.usable) > self._most:
             self.make_room()
-        while self.owed and viewer.usable and not self._closed:
-            viewer.say(self.owed.popleft())
+        while self.pending and viewer.usable and not self._closed:
+            viewer.say(self.pending.popleft())
 
     def make_room(self) -> bool:
         """Close the connection that is missed least; False where something is asked on each."""
         idle = [one for one in self.viewers if not one.open and one.usable]
-        idle.sort(key=lambda one: (one.standing(self.now()), one.heard))
+        idle.sort(key=lambda one: (one.standing(self.now()), one.last_received))
         # Danger: what has written already and was not read yet is idle no longer.
         chosen = next((one for one in idle if not one.waiting()[1]), idle[0] if idle else None)
         if chosen is not None:
@@ -209,17 +211,17 @@
             chosen.close()
         return chosen is not None
 
-    def abandoned(self, viewer: Viewer) -> None:
+    def abandoned(self, viewer: ViewerConnection) -> None:
         """The other side of a connection has closed it: what is asked on it is given up."""
         for playback in list(viewer.open.values()):
             playback.reply = None
             self.leave(playback)
         viewer.open.clear()
 
-    def went(self, viewer: Viewer) -> None:
+    def disconnected(self, viewer: ViewerConnection) -> None:
         """A connection is gone, and what was asked on it."""
         self.viewers.pop(viewer, None)
-        for at, data in viewer.said:
+        for at, data in viewer.sent_lately:
             if self.now() - at < CROSSING and not self._closed:
                 self.say(data)
         self.abandoned(viewer)
@@ -228,7 +230,7 @@
     def wanted(self, playback: Playback) -> bool:
         """Whether the viewer is still there, by what its connection has in store; if not, it has left."""
         viewer: Any = playback.reply
-        if isinstance(viewer, Viewer) and viewer.waiting()[0]:
+        if isinstance(viewer, ViewerConnection) and viewer.waiting()[0]:
             self.counts["gone before a send"] += 1
             self.abandoned(viewer)
         return playback.state == "asked"
@@ -236,7 +238,7 @@
     def unread(self, playback: Playback) -> bool:
         """Whether its connection holds something that may be about it."""
         viewer: Any = playback.reply
-        return isinstance(viewer, Viewer) and viewer.waiting()[1]
+        return isinstance(viewer, ViewerConnection) and viewer.waiting()[1]
 
     def sweep(self) -> None:
         """Close those who have sent nothing sound for too long."""
@@ -263,22 +265,22 @@
 
     # Messages.
 
-    def heard(self, viewer: Viewer, line: Line) -> None:
+    def received(self, viewer: ViewerConnection, line: Line) -> None:
         """One message."""
         if not viewer.usable:
             return
-        found = HEARD.get(line.type)
+        found = HANDLERS.get(line.type)
         if found is not None:
             found(self, viewer, line)
         elif line.type not in FREE:
             self.counts["unknown type"] += 1
             viewer.close()
 
-    def _ping(self, viewer: Viewer, line: Line) -> None:
+    def _ping(self, viewer: ViewerConnection, line: Line) -> None:
         viewer.sound = True
         viewer.write(lines.pong(line.id, self.ready))
 
-    def _release(self, viewer: Viewer, line: Line) -> None:
+    def _release(self, viewer: ViewerConnection, line: Line) -> None:
         playback = self.known.get(line.id)
         if playback is not None:
             viewer.sound = True
@@ -292,7 +294,7 @@
             self.driver.leave(self.now(), playback)
             self.arm()
 
-    def _set_up(self, viewer: Viewer, line: Line) -> None:
+    def _set_up(self, viewer: ViewerConnection, line: Line) -> None:
         if len(line.id) != 16 or not HEX.issuperset(line.id):
             self.counts["no id"] += 1
             viewer.close()
@@ -323,7 +325,7 @@
         viewer.asked += 1
         self._arrive(viewer, line.id, wanted, sent)
 
-    def _arrive(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent) -> None:
+    def _arrive(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: Sent) -> None:
         if self.driver is None:
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
@@ -333,7 +335,7 @@
             self.known[name] = viewer.open[name] = playback
         self.arm()
 
-    def _hand_over(self, viewer: Viewer, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
+    def _hand_over(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
         if self.driver is None or self.host_number is None or self.stands is None:
             return
         self._coming = Viewing(sent, viewer)
@@ -350,9 +352,9 @@
         """A set-up's request, what its host gets, and where it plays already.
 
         Raises WrongForm, ValueError, OverflowError."""
-        told, fields = self.told, line.fields
+        configuration, fields = self.configuration, line.fields
         name = fields.get("class")
-        plan = told.plans.get(name) if isinstance(name, str) else None
+        plan = configuration.plans.get(name) if isinstance(name, str) else None
         if plan is None or not isinstance(name, str):
             raise WrongForm("there is no such plan")
         if not line.sdp:
@@ -362,9 +364,9 @@
         if len(extras) != len(parts):
             raise WrongForm("a figure stands twice")
         at = extras.get("at", "")
-        patience = told.abandon_times[plan] / MS if at else float(fields.get("left", "nan"))
+        patience = configuration.abandon_times[plan] / MS if at else float(fields.get("left", "nan"))
         # A viewer's clock may run a little otherwise; beyond that no viewer waits longer than its plan does.
-        if not (isfinite(patience) and 0 < patience * MS <= 2 * told.abandon_times[plan]):
+        if not (isfinite(patience) and 0 < patience * MS <= 2 * configuration.abandon_times[plan]):
             raise WrongForm(f"it leaves no such time: {fields.get('left')!r:.20}")
         key = str(fields.get("key", ""))
         if not 0 < len(key) <= 16 or not HEX.issuperset(key):
@@ -372,15 +374,15 @@
         top, home, copies = (
             float(extras[one]) if one in extras else -1.0 for one in ("top", "home", "copies")
         )
-        cells = told.terms.lineup.cells
+        cells = configuration.terms.lineup.cells
         if not (0 <= top < 256 and 0 <= home < cells and 1 <= copies < 1e6):
             raise WrongForm("a figure is out of range")
         viewer = int(extras.get("viewer", "0") or "0", 16)
         if not 0 <= viewer < 1 << 64:
             raise WrongForm("its viewer is out of range")
         wanted = Wanted(
-            plan, told.terms.plans[plan].floor, int(top), int(home), int(copies), int(key, 16), key, viewer,
-            round(patience * MS), extras.get("again") == "1", 0,
+            plan, configuration.terms.plans[plan].floor, int(top), int(home), int(copies), int(key, 16), key,
+            viewer, round(patience * MS), extras.get("again") == "1", 0,
         )  # fmt: skip
         sent = Sent(int(line.id, 16), name.encode(), key.encode(), line.sdp.encode())
         return wanted, sent, at
@@ -392,7 +394,7 @@
         viewer, name = playback.reply, playback.public
         if final.kind != "plays":
             self._forget(playback)
-        if not isinstance(viewer, Viewer):
+        if not isinstance(viewer, ViewerConnection):
             return
         viewer.open.pop(name, None)
         if final.kind == "plays" and viewer.waiting()[0]:
@@ -434,20 +436,20 @@
         # Danger: who asked once and keeps the connection may not listen for what others are owed.
         usable = [viewer for viewer in self.viewers if viewer.usable and viewer.sound]
         if usable:
-            max(usable, key=lambda viewer: (viewer.asked, viewer.heard)).say(data)
+            max(usable, key=lambda viewer: (viewer.asked, viewer.last_received)).say(data)
         else:
-            self.owed.append(data)
+            self.pending.append(data)
 
     def _forget(self, playback: Playback) -> None:
         if self.known.get(playback.public) is playback:
             del self.known[playback.public]
         viewer: Any = playback.reply
-        if isinstance(viewer, Viewer) and viewer.open.get(playback.public) is playback:
+        if isinstance(viewer, ViewerConnection) and viewer.open.get(playback.public) is playback:
             del viewer.open[playback.public]
 
 
-HEARD: dict[str, Callable[[Door, Viewer, Line], None]] = {
-    "setup": Door._set_up,
-    "release": Door._release,
-    "ping": Door._ping,
+HANDLERS: dict[str, Callable[[ViewerListener, ViewerConnection, Line], None]] = {
+    "setup": ViewerListener._set_up,
+    "release": ViewerListener._release,
+    "ping": ViewerListener._ping,
 }
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -30,7 +30,7 @@
 
 from burlmast.node import frames
 from burlmast.node.frames import Frame
-from burlmast.node.hosts import Link, MediaHost
+from burlmast.node.hosts import HostConnection, MediaHost
 from burlmast.node.lines import Line as Message
 from burlmast.node.lines import LineReader
 
@@ -70,7 +70,7 @@
     """Wait until what has been sent to any host by now has been read there."""
     for host in one.hosts:
         pings = len(host.of(frames.PING))
-        known(one, host).test(10_000 + pings)
+        known(one, host).probe(10_000 + pings)
         await until(lambda host=host, pings=pings: len(host.of(frames.PING)) > pings)
 
 
@@ -101,8 +101,8 @@
     async def work(one: Platform) -> None:
         other, _ = await playing(one, OTHER)  # a connection to the host is open and free
         gone = socket.create_connection(("127.0.0.1", one.program.port))
-        before = len(one.program.door.viewers)
-        await until(lambda: len(one.program.door.viewers) > before)
+        before = len(one.program.listener.viewers)
+        await until(lambda: len(one.program.listener.viewers) > before)
         gone.send(asked(ID) + (given_up(ID) if how == "release" else b""))
         if how == "reset":
             gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
@@ -110,11 +110,11 @@
             gone.close()
         elif how == "half-close":
             gone.shutdown(socket.SHUT_WR)
-        await until(lambda: how == "release" or len(one.program.door.viewers) == before)
+        await until(lambda: how == "release" or len(one.program.listener.viewers) == before)
         other.say("ping", "00")
         assert (await other.hear())["type"] == "pong"
         await through(one)
-        assert not set_ups(one) and ID not in one.program.door.known
+        assert not set_ups(one) and ID not in one.program.listener.known
         gone.close()
 
     run(work, tmp_path, 1)
@@ -135,7 +135,7 @@
         for host in one.hosts:
             host.does = refuse
         line.set_up()
-        await until(lambda: set_ups(one) and ID not in one.program.door.known)
+        await until(lambda: set_ups(one) and ID not in one.program.listener.known)
         await through(one)
         assert len(set_ups(one)) == 1 and other
 
@@ -152,7 +152,7 @@
         slow.connect(("127.0.0.1", one.program.port))
         slow.send(asked(ID))
         await until(lambda: set_ups(one))
-        (viewer,) = one.program.door.viewers
+        (viewer,) = one.program.listener.viewers
         assert viewer.transport is not None
         if last == "paused":
             viewer.pause_writing()  # as the transport does over its high water
@@ -162,8 +162,8 @@
             assert viewer.transport.get_write_buffer_size()
         slow.shutdown(socket.SHUT_WR)
         await until(lambda: one.host_of().of(frames.RELEASE))
-        assert ID not in one.program.door.known
-        await until(lambda: not one.program.door.viewers), "it keeps no descriptor"
+        assert ID not in one.program.listener.known
+        await until(lambda: not one.program.listener.viewers), "it keeps no descriptor"
         slow.close()
 
     run(work, tmp_path)
@@ -182,7 +182,7 @@
             host.does = say
         line.set_up()
         await until(lambda: set_ups(one) and one.host_of().of(frames.RELEASE))
-        assert not one.program.driver.held and ID not in one.program.door.known
+        assert not one.program.driver.held and ID not in one.program.listener.known
 
     run(work, tmp_path)
 
@@ -233,7 +233,7 @@
             one.names.rows[first.name] = third.port, 0
         assert (await line.hear())["type"] == "answer", "it does not wait for the connection's time"
         gate.open.set()
-        await until(lambda: not known(one, second).coming)
+        await until(lambda: not known(one, second).connecting)
         assert not set_ups(one, name) or set_ups(one, name)[0][0] is not first
         line.say("ping", "00")
         await line.hear()
@@ -271,7 +271,7 @@
 
         def call_soon(work: Any, *more: Any, **named: Any) -> Any:
             made = getattr(work, "__name__", "") == "connection_made"
-            if made and isinstance(getattr(work, "__self__", None), Link) and late:
+            if made and isinstance(getattr(work, "__self__", None), HostConnection) and late:
                 late.clear()
                 time.sleep(SETTINGS["allowed"]["connectTimeoutMs"] / 1000 + 0.01)  # the loop was busy
             return real(work, *more, **named)
@@ -281,9 +281,9 @@
         line.set_up()
         assert (await line.hear())["type"] == "answer" and not late
         hosts = list(one.program.hosts.hosts.values())
-        await until(lambda: not any(host.coming for host in hosts))
-        assert one.program.hosts.opened == sum(len(host.links) for host in hosts)
-        assert all(link.state == "open" for host in hosts for link in host.links)
+        await until(lambda: not any(host.connecting for host in hosts))
+        assert one.program.hosts.opened == sum(len(host.connections) for host in hosts)
+        assert all(link.state == "open" for host in hosts for link in host.connections)
 
     run(work, tmp_path, 1)
 
@@ -316,7 +316,7 @@
             first[0].write(release(SESSION, cause))
         await through(one)
         await through(one)
-        assert ID in one.program.door.known
+        assert ID in one.program.listener.known
         host.links[-1].write(release(SESSION, 16))
         assert (await line.hear())["cause"] == 16
 
@@ -327,14 +327,14 @@
     async def work(one: Platform) -> None:
         line, host = await playing(one)
         at = known(one, host)
-        (old,) = at.links
+        (old,) = at.connections
         old.used -= 1_900_000_000  # nothing has passed for most of the 2 s
         line.set_up(OTHER)
         assert (await line.hear())["type"] == "answer"
-        assert host.carried[0][1] is not host.carried[1][1] and OTHER in one.program.door.known
+        assert host.carried[0][1] is not host.carried[1][1] and OTHER in one.program.listener.known
         old.used -= 1_900_000_000
         at.watch(one.program.now())
-        assert old not in at.links, "the one that is left tells of what stands"
+        assert old not in at.connections, "the one that is left tells of what stands"
 
     settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "idleCloseMs": 2000.0}}
     run(work, tmp_path, 1, settings=settings)
@@ -345,11 +345,11 @@
         line, host = await playing(one)
         (carrier,) = host.links
         gateway = known(one, host)
-        (link,) = gateway.links
+        (link,) = gateway.connections
         # The gateway writes the release on a connection that the host resets before it reads.
         carrier.transport.pause_reading()
         line.say("release", cause=16)
-        await until(lambda: link.said)
+        await until(lambda: link.sent_lately)
         carrier.transport.abort()
         await until(lambda: host.of(frames.RELEASE))
         assert host.of(frames.RELEASE)[0].session == SESSION
@@ -360,19 +360,19 @@
 def test_no_set_up_is_lost_on_a_connection_that_its_host_has_closed(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
-        (link,) = known(one, host).links
+        (link,) = known(one, host).connections
         assert link.transport is not None
         seen: list[str] = []
-        real = one.program.hosts.ear.ended
+        real = one.program.hosts.callbacks.ended
 
         def ended(attempt: Any, ending: Any, load: Any) -> None:
             seen.append(ending.value)
             real(attempt, ending, load)
 
-        one.program.hosts.ear.ended = ended  # type: ignore[method-assign]
+        one.program.hosts.callbacks.ended = ended  # type: ignore[method-assign]
         # As after an EOF or an error: the transport is closing, and says so only in the loop's next turn.
         link.transport.close()
-        one.program.door.heard(next(iter(one.program.door.viewers)), read(asked(OTHER)))
+        one.program.listener.received(next(iter(one.program.listener.viewers)), read(asked(OTHER)))
         assert (await line.hear())["id"] == OTHER
         assert seen == [] and len(set_ups(one, OTHER)) == 1
 
@@ -387,7 +387,7 @@
         line.set_up(left="2900")
         await until(lambda: gate.held)
         at = known(one, host)
-        (call,) = at.calls.values()
+        (call,) = at.attempts.values()
         one.program.hosts.restarted(at.number, one.program.now() + 1)
         assert call.one.ending is not None and call.one.ending.value == "moot"
 
@@ -403,7 +403,7 @@
         other, _ = await playing(one, OTHER)
         third = "00000000000000bb"
         line.raw(asked(third))  # it lies in the socket, and the connection has been idle longest
-        assert one.program.door.make_room()
+        assert one.program.listener.make_room()
         assert (await line.hear())["id"] == third and await other.hear() == {}
 
     run(work, tmp_path, 1)
@@ -411,14 +411,14 @@
 
 def test_a_burst_of_silent_viewers_never_goes_over_the_share_and_a_real_one_is_served(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
-        door, most = one.program.door, one.program.told.parts.viewers
-        seen, came = [0], door.came
+        listener, most = one.program.listener, one.program.configuration.parts.viewers
+        seen, connected = [0], listener.connected
 
         def watched(viewer: Any) -> None:
-            came(viewer)
-            seen[0] = max(seen[0], len(door.viewers))
+            connected(viewer)
+            seen[0] = max(seen[0], len(listener.viewers))
 
-        door.came = watched  # type: ignore[method-assign]
+        listener.connected = watched  # type: ignore[method-assign]
         crowd = [socket.socket() for _ in range(3 * most)]
         for idle in crowd:
             idle.setblocking(False)
@@ -458,7 +458,7 @@
         left = none_left(host.port, 1)
         host.links[0].transport.abort()  # what stands is reached for again: a dial, and none is left
         await until(lambda: not left and host.links)
-        assert ID in one.program.door.known
+        assert ID in one.program.listener.known
         assert await idle.hear() == {}, "an idle viewer makes room"
         line.set_up(OTHER)
         assert (await line.hear())["type"] == "answer"
@@ -580,11 +580,11 @@
         one.names.rows["s-next"] = host.port, 0
         assert (await line.hear())["cause"] == 41
         (new,) = [h for h in one.program.hosts.hosts.values() if h.name == "s-next"]
-        assert not new.calls and not new.links
+        assert not new.attempts and not new.connections
         before = len(host.of(frames.SETUP))
         line.set_up(OTHER)
         assert (await line.hear())["type"] == "answer"
-        assert len(host.of(frames.SETUP)) == before + 1 and len(new.links) == 1
+        assert len(host.of(frames.SETUP)) == before + 1 and len(new.connections) == 1
 
     run(work, tmp_path, 1)
 
@@ -606,6 +606,6 @@
         assert {message["id"] for message in told} == {ID, *names}
         await until(lambda: [m.session for m in host.of(frames.RELEASE)] == [SESSION])
         played = {message["id"] for message in told if message["type"] == "answer"}
-        assert set(one.program.door.known) == played and not one.program.driver.failed
+        assert set(one.program.listener.known) == played and not one.program.driver.failed
 
     run(work, tmp_path)
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -61,7 +61,7 @@
         assert 0 < int(told[frames.WAIT]) <= 1000 and told[frames.RUNG] in (b"0", b"1")
         line.say("release")
         await until(lambda: one.host_of().of(frames.RELEASE))
-        assert not one.program.door.known and not one.program.driver.held and not one.program.driver.shown
+        assert not one.program.listener.known and not one.program.driver.held and not one.program.driver.shown
 
     run(work, tmp_path)
 
@@ -78,7 +78,7 @@
         assert await line.hear() == {"type": "pong", "id": "00", "fields": {}, "cause": 0}
         line.set_up()
         assert (await line.hear())["type"] == "answer", "what comes all the same is served"
-        await until(lambda: one.program.door.ready)
+        await until(lambda: one.program.listener.ready)
         line.say("ping", "00")
         assert (await line.hear())["cause"] == 1
         assert one.names.asked
@@ -112,9 +112,9 @@
     async def work(one: Platform) -> None:
         line, host = await playing(one)
         line.writer.close()
-        await until(lambda: not one.program.door.viewers)
+        await until(lambda: not one.program.listener.viewers)
         host.links[0].write(release(SESSION, 41))
-        await until(lambda: one.program.door.owed)
+        await until(lambda: one.program.listener.pending)
         assert (await (await one.line()).hear())["id"] == ID
 
     run(work, tmp_path)
@@ -124,7 +124,7 @@
     async def work(one: Platform) -> None:
         line, host = await playing(one)
         host.links[0].transport.abort()
-        await until(lambda: len(host.links) == 1 and ID in one.program.door.known)
+        await until(lambda: len(host.links) == 1 and ID in one.program.listener.known)
         host.die()
         assert await line.hear() == {"type": "release", "id": ID, "fields": {}, "cause": 41}
 
@@ -153,9 +153,9 @@
         known = next(h for h in one.program.hosts.hosts.values() if h.name == host.name)
         known.dial = lambda: None  # type: ignore[method-assign]
         host.die()
-        await until(lambda: not known.links)
+        await until(lambda: not known.connections)
         known.unreachable(False)
-        assert ID in one.program.door.known, "one connection that does not come up proves nothing"
+        assert ID in one.program.listener.known, "one connection that does not come up proves nothing"
         known.unreachable(False)
         assert (await line.hear())["cause"] == 41
 
@@ -171,7 +171,7 @@
         await until(lambda: known.draining)
         host.die()
         await until(lambda: known.failures >= 2)
-        assert ID in one.program.door.known
+        assert ID in one.program.listener.known
         one.names.serial += 1
         del one.names.rows[host.name]
         assert (await line.hear())["cause"] == 41
@@ -333,12 +333,12 @@
             host.does = lambda m: b""
         line = await one.line()
         line.set_up()
-        crowd = [await one.line() for _ in range(one.program.told.parts.viewers + 20)]
-        await until(lambda: one.program.door.counts["closed for room"] >= 20)
+        crowd = [await one.line() for _ in range(one.program.configuration.parts.viewers + 20)]
+        await until(lambda: one.program.listener.counts["closed for room"] >= 20)
         for host in one.hosts:
             host.does = answer
         assert (await line.hear())["id"] == ID
-        assert len(one.program.door.viewers) <= one.program.told.parts.viewers and crowd
+        assert len(one.program.listener.viewers) <= one.program.configuration.parts.viewers and crowd
 
     run(work, tmp_path)
 
@@ -348,14 +348,14 @@
         usual, _ = await playing(one)
         usual.set_up(OTHER)
         assert (await usual.hear())["type"] == "answer"
-        room = one.program.told.parts.viewers
+        room = one.program.configuration.parts.viewers
         crowd = [(await playing(one, f"{n:016x}"))[0] for n in range(0x100, 0x100 + room)]
         newcomer = await one.line()
-        await until(lambda: one.program.door.counts["closed for room"] >= 2)
+        await until(lambda: one.program.listener.counts["closed for room"] >= 2)
         newcomer.set_up("00000000000000dd")
         usual.set_up("00000000000000ee")
         assert (await newcomer.hear())["type"] == (await usual.hear())["type"] == "answer"
-        assert len(one.program.door.viewers) == room == len(crowd)
+        assert len(one.program.listener.viewers) == room == len(crowd)
 
     run(work, tmp_path)
 
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -99,7 +99,7 @@
 def test_sighup_before_the_handler_stands_is_lost_neither_as_a_process_nor_as_a_file(tmp_path: Path) -> None:
     async def whole() -> None:
         async with platform(tmp_path) as one:
-            address = one.program.told.resolver
+            address = one.program.configuration.resolver
             one.write(9)  # nobody is there
             async with nodes(one) as (node,):
                 await until(lambda: node.started)
@@ -310,7 +310,7 @@
         for name in ("a", "b"):
             (tmp_path / name).mkdir()
         async with platform(tmp_path / "a") as one, platform(tmp_path / "b", settings=GOLD) as other:
-            await until(lambda: one.program.door.ready and other.program.door.ready)
+            await until(lambda: one.program.listener.ready and other.program.listener.ready)
             lines = [await one.line(), await other.line()]
             here = {"paid": "answer", "gold": "release", "tin": "release"}
             assert await classes(lines[0], 0x10) == here
@@ -318,7 +318,7 @@
             assert there["paid"] == "release" and "answer" in (there["gold"], there["tin"])
             # The first one's file becomes the other's, but for its name server.
             one.changes["settings"] = GOLD
-            one.write(one.program.told.resolver[1])
+            one.write(one.program.configuration.resolver[1])
             one.program.read_again()
             assert await classes(lines[0], 0x30) == here
 
@@ -331,7 +331,7 @@
             assert [message["type"] for message in told] == ["release"] * 3, "what played, and what came"
             assert await classes(lines[0], 0x40) == here
             rungs = {m.parameters[frames.RUNG] for h in other.hosts for m in h.of(frames.SETUP)}
-            assert rungs <= {b"0", b"1"} and other.program.told.terms.plans[0].floor == 1
+            assert rungs <= {b"0", b"1"} and other.program.configuration.terms.plans[0].floor == 1
 
     asyncio.run(whole())
 
@@ -360,7 +360,7 @@
         for name, changes in (("a", {}), ("b", {"settings": GOLD})):
             (tmp_path / name).mkdir()
             async with platform(tmp_path / name, **changes) as one:
-                found.append(one.program.told.terms)
+                found.append(one.program.configuration.terms)
         return found
 
     both = asyncio.run(terms())
