Dials that nothing waits for are given up; a busy loop takes no connection for late

Seen on reading hosts.py once more, each with a test that fails without it: - What waited for a connection could be given up while its dial went on: 40 set-ups withdrawn left 41 connections at the host, where connections are scarce. The time that ran out lets the loop read first.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -118,6 +118,10 @@
         except OSError as why:
             self.failed(why)
 
+    def overdue(self) -> None:
+        """Its time has run out, by a loop that may have been busy: what has come up by now counts."""
+        self.host.side.after_reading(lambda: self.host.side.after_reading(lambda: self.failed(None)))
+
     def failed(self, why: OSError | None) -> None:
         """It did not come up; without a reason, in time."""
         # Danger: time may run out between the coming up and the return of what dialled; one of them counts.
@@ -260,9 +264,15 @@
             connection = HostConnection(self)
             self.connecting[connection] = None
             self.side.opened += 1
-            connection.timer = self.side.later(self.side.wired.connect, lambda: connection.failed(None))
+            connection.timer = self.side.later(self.side.wired.connect, connection.overdue)
             connection.task = self.side.keep(connection.dial())
 
+    def dial_no_more(self) -> None:
+        """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
+        needed = len(self.waiting) + bool(self.probes or self.backlog or self.stands())
+        for connection in list(self.connecting)[needed:]:
+            connection.drop()
+
     def connected(self, connection: HostConnection) -> None:
         self.connecting.pop(connection, None)
         self.connections[connection] = None
@@ -444,6 +454,7 @@
             del self.attempts[attempt.session]
         if attempt in self.waiting:
             self.waiting.remove(attempt)
+            self.dial_no_more()
         attempt.one.handle = None  # or the two would hold each other until the collector comes
         attempt.origin = None
         connection, attempt.connection = attempt.connection, None
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -288,6 +288,45 @@
     run(work, tmp_path, 1)
 
 
+def test_dials_that_nothing_waits_for_any_more_are_given_up(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        (host,) = one.hosts
+        gate = Gate(host.port)
+        line = await one.line()
+        names = [f"{number:016x}" for number in range(40)]
+        line.raw(b"".join(asked(name) for name in names))
+        await until(lambda: gate.held == 40)
+        line.raw(b"".join(given_up(name) for name in names))
+        await until(lambda: not one.program.listener.known)
+        gate.open.set()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer"
+        await through(one)
+        assert len(host.links) == 1 == one.program.hosts.opened
+
+    run(work, tmp_path, 1, settings=PATIENT)
+
+
+def test_a_loop_that_was_busy_takes_no_connection_for_late(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        (host,) = one.hosts
+        at, loop = known(one, host), asyncio.get_running_loop()
+        real, busy = at.dial, SETTINGS["allowed"]["connectTimeoutMs"] / 1000 + 0.05
+
+        def dial() -> None:
+            real()
+            loop.call_soon(time.sleep, busy)  # once the dial is on its way nothing else is done
+
+        at.dial = dial  # type: ignore[method-assign]
+        line = await one.line()
+        line.set_up()
+        assert (await line.hear())["type"] == "answer"
+        assert len(host.of(frames.SETUP)) == 1 and not one.program.driver.counts["ended no connection"]
+
+    plan = {**SETTINGS["requestClasses"][0], "goalTimeMs": 30_000.0}
+    run(work, tmp_path, 1, settings={**SETTINGS, "requestClasses": [plan]})
+
+
 # Answers that come twice.
 
 
