--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -110,7 +110,9 @@
         ends = {line.id: place for place, line in enumerate(found) if line.type == "release"}
         kept = []
         for place, line in enumerate(found):
-            if line.type == "setup" and ends.get(line.id, -1) > place and line.id not in self.listener.known:
+            given_up = line.type == "setup" and ends.get(line.id, -1) > place
+            # What is of wrong form is owed its refusal all the same.
+            if given_up and line.id not in self.listener.known and self.listener.of_form(line):
                 self.sound = True
                 self.listener.counts["given up at once"] += 1
             else:
@@ -348,6 +350,14 @@
         """What the driver keeps with the playback that comes now."""
         return self._coming
 
+    def of_form(self, line: Line) -> bool:
+        """Whether a set-up could be asked for."""
+        try:
+            self.check(line)
+        except (WrongForm, ValueError, OverflowError):
+            return False
+        return len(line.id) == 16 and HEX.issuperset(line.id)
+
     def check(self, line: Line) -> tuple[Wanted, Sent, str]:
         """A set-up's request, what its host gets, and where it plays already.
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -120,6 +120,16 @@
     run(work, tmp_path, 1)
 
 
+def test_a_wrong_set_up_that_is_given_up_at_once_gets_its_refusal_all_the_same(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line = await one.line()
+        line.raw(asked(ID).replace(b"paid", b"none") + given_up(ID) + asked(OTHER))
+        told = [await line.hear(), await line.hear()]
+        assert [(m["id"], m["type"]) for m in told] == [(ID, "release"), (OTHER, "answer")]
+
+    run(work, tmp_path, 1)
+
+
 @pytest.mark.parametrize("how", ["close", "release"])
 def test_no_further_attempt_begins_once_the_viewers_end_is_in_the_socket(tmp_path: Path, how: str) -> None:
     async def work(one: Platform) -> None:
