--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -21,7 +21,7 @@
 from burlmast.node.hosts import HostsSide, Wired
 from burlmast.node.names import Entry
 from burlmast.node.resolver import Resolver
-from burlmast.node.roster import TOLD_BY, Roster
+from burlmast.node.roster import PERIOD, TOLD_BY, Roster
 from burlmast.node.viewers import ViewerListener, Viewing
 
 BAD_CONFIGURATION = 2
@@ -225,7 +225,7 @@
         # are there is refused, since the old ones would never answer it.
         self.listener.driver = None
         if self._beginning:
-            self.loop.call_soon(self.begin)
+            self.loop.call_later(PERIOD / 1e9, self.begin)  # they fall at their list: others go first
         else:
             self.begin()
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -28,6 +28,8 @@
     until,
 )  # fmt: skip
 
+from burlmast.api import Listed
+from burlmast.logic import EVENTS, Gateway
 from burlmast.node import frames
 from burlmast.node.frames import Frame
 from burlmast.node.hosts import HostConnection, MediaHost
@@ -641,6 +643,36 @@
 # A fall of the decisions.
 
 
+def test_what_comes_while_no_decisions_stand_is_refused_and_later_ones_serve(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work(one: Platform) -> None:
+        line, _ = await playing(one)
+        falls = [1, 2]
+
+        class Falling(Gateway):
+            """Falls at its list, twice."""
+
+            def listed(self, now: int, event: Any) -> None:
+                if falls:
+                    falls.pop()
+                    raise RuntimeError("planted")
+                super().listed(now, event)
+
+        monkeypatch.setattr("burlmast.node.program.Gateway", Falling)
+        monkeypatch.setitem(EVENTS, Listed, lambda gateway, now, event: gateway.listed(now, event))
+        one.program.driver.policy.take = lambda *_: [][0]  # type: ignore[method-assign]
+        line.raw(asked(OTHER))
+        assert {(await line.hear())["id"] for _ in range(2)} == {ID, OTHER}
+        line.set_up("00000000000000bb")
+        assert await line.hear() == {"type": "release", "id": "00000000000000bb", "fields": {}, "cause": 34}
+        await until(lambda: not falls and one.program.listener.driver is not None)
+        line.set_up("00000000000000cc")
+        assert (await line.hear())["type"] == "answer"
+
+    run(work, tmp_path)
+
+
 def test_what_is_read_with_a_fall_is_answered_and_hosts_hear_of_what_played(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
