--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -205,8 +205,7 @@
             if host is None or host not in host.rack.hosts:
                 host = self.hosts[row.host] = host or Host(row, self.racks[row.cell % len(self.racks)])
                 # A gateway that starts knows only its last list, and a host may have restarted since.
-                warm = now - row.started >= self.terms.rules.warm_after
-                host.presumed = event.scope is Scope.CACHED and warm
+                host.presumed = event.scope is Scope.CACHED
                 host.risen = now if host.presumed else row.started
                 host.rack.hosts.append(host)
                 self.cells.setdefault(row.cell, []).append(host)
