--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -238,3 +238,23 @@
     finally:
         one.close()
         await asyncio.sleep(0.01)
+
+
+def run(
+    work: Callable[[Platform], Coroutine[Any, Any, None]], folder: Path, hosts: int = 4, **changes: Any
+) -> None:
+    """Do this with a platform of its own."""
+
+    async def whole() -> None:
+        async with platform(folder, hosts, **changes) as one:
+            await work(one)
+
+    asyncio.run(whole())
+
+
+async def playing(one: Platform, name: str = ID) -> tuple[Line, Host]:
+    """A connection on which a playback has been answered, and its host."""
+    line = await one.line()
+    line.set_up(name)
+    assert (await line.hear())["type"] == "answer"
+    return line, one.host_of(name)
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -7,7 +7,6 @@
 import json
 import socket
 import time
-from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -22,9 +21,10 @@
     NameServer,
     Platform,
     answer,
-    platform,
+    playing,
     release,
     reply,
+    run,
     until,
 )  # fmt: skip
 
@@ -41,23 +41,6 @@
 PATIENT = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "connectTimeoutMs": 3000.0}}
 
 
-def run(
-    work: Callable[[Platform], Coroutine[Any, Any, None]], folder: Path, hosts: int = 4, **changes: Any
-) -> None:
-    async def whole() -> None:
-        async with platform(folder, hosts, **changes) as one:
-            await work(one)
-
-    asyncio.run(whole())
-
-
-async def playing(one: Platform, name: str = ID) -> tuple[Line, Host]:
-    line = await one.line()
-    line.set_up(name)
-    assert (await line.hear())["type"] == "answer"
-    return line, one.host_of(name)
-
-
 def set_ups(one: Platform, name: str = ID) -> list[tuple[Host, Frame]]:
     """The set-ups that hosts have got under this id."""
     return [(h, m) for h in one.hosts for m in h.of(frames.SETUP) if m.session == int(name, 16)]
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -8,7 +8,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -23,7 +23,9 @@
     Platform,
     answer,
     platform,
+    playing,
     release,
+    run,
     until,
 )  # fmt: skip
 
@@ -34,21 +36,6 @@
 SESSION = int(ID, 16)
 
 
-def run(work: Callable[[Platform], Coroutine[Any, Any, None]], folder: Path, hosts: int = 4) -> None:
-    async def whole() -> None:
-        async with platform(folder, hosts) as one:
-            await work(one)
-
-    asyncio.run(whole())
-
-
-async def playing(one: Platform, name: str = ID) -> tuple[Line, Host]:
-    line = await one.line()
-    line.set_up(name)
-    assert (await line.hear())["type"] == "answer"
-    return line, one.host_of(name)
-
-
 def test_a_set_up_goes_to_a_host_unchanged_and_its_answer_comes_back_unchanged(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line = await one.line()
