--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -111,8 +111,8 @@
         kept = []
         for place, line in enumerate(found):
             given_up = line.type == "setup" and ends.get(line.id, -1) > place
-            # What is of wrong form is owed its refusal all the same.
-            if given_up and line.id not in self.listener.known and self.listener.of_form(line):
+            # What is of wrong form is owed its refusal all the same, and what plays already has to end there.
+            if given_up and line.id not in self.listener.known and self.listener.may_be_asked(line):
                 self.sound = True
                 self.listener.counts["given up at once"] += 1
             else:
@@ -350,13 +350,13 @@
         """What the driver keeps with the playback that comes now."""
         return self._coming
 
-    def of_form(self, line: Line) -> bool:
-        """Whether a set-up could be asked for."""
+    def may_be_asked(self, line: Line) -> bool:
+        """Whether a set-up is sound, and for something that does not play yet."""
         try:
-            self.check(line)
+            _, _, at = self.check(line)
         except (WrongForm, ValueError, OverflowError):
             return False
-        return len(line.id) == 16 and HEX.issuperset(line.id)
+        return not at and len(line.id) == 16 and HEX.issuperset(line.id)
 
     def check(self, line: Line) -> tuple[Wanted, Sent, str]:
         """A set-up's request, what its host gets, and where it plays already.
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -115,6 +115,33 @@
     run(work, tmp_path, 1)
 
 
+def test_a_hand_over_and_its_end_that_come_together_end_what_plays_at_the_host(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line = await one.line()
+        line.raw(asked(ID).replace(b"home:0", b"at:s-0;home:0") + given_up(ID))
+        await until(lambda: one.hosts[0].of(frames.RELEASE))
+        assert not one.program.listener.known and not one.program.driver.held
+
+    run(work, tmp_path, 1)
+
+
+def test_a_set_up_that_crossed_a_close_and_comes_again_plays_once(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, _ = await playing(one, OTHER)
+        (viewer,) = one.program.listener.viewers
+        line.raw(asked(ID))
+        viewer.close()  # it lay in the socket, and is never read
+        assert await line.hear() == {}
+        again = await one.line()
+        again.raw(asked(ID))
+        assert (await again.hear())["type"] == "answer"
+        again.raw(asked(ID))  # once more than it should
+        assert (await again.hear())["type"] == "release"
+        assert len(set_ups(one)) == 1 and OTHER in one.program.listener.known
+
+    run(work, tmp_path, 1)
+
+
 @pytest.mark.parametrize("how", ["close", "release"])
 def test_no_further_attempt_begins_once_the_viewers_end_is_in_the_socket(tmp_path: Path, how: str) -> None:
     async def work(one: Platform) -> None:
