Records in the gateway's log: reasons of each close, steps of sampled sessions

Cause: the incident's logs name no session, no connection and no reason of a close, so six candidate causes could not be told apart.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -14,6 +14,7 @@
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
 from burlmast.node import frames
 from burlmast.node.descriptors import SHORTAGE
+from burlmast.node.eventlog import EventLog, session_name
 from burlmast.node.frames import Frame, FrameReader
 from burlmast.node.names import Entry
 
@@ -99,6 +100,7 @@
 
     def __init__(self, host: MediaHost) -> None:
         self.host = host
+        self.name = host.side.next_connection_name()
         self.reader = FrameReader()
         self.transport: asyncio.Transport | None = None
         self.out: dict[int, HostAttempt] = {}
@@ -200,6 +202,16 @@
             return
         self.state = "closed"
         self.host.connections.pop(self, None)
+        if self.out or self.host.stands():
+            self.host.side.events.record(
+                "host_connection_closed",
+                host=self.host.name,
+                connection=self.name,
+                reason=why.replace(" ", "_"),
+                attempts_out=len(self.out),
+                partial_message=self.reader.partial,
+                connections_left=len(self.host.connections),
+            )
         if self.transport is not None:
             self.transport.abort() if why == "not understood" else self.transport.close()
         self.host.lost(self, why)
@@ -435,6 +447,13 @@
             return
         _, plan, title, description = attempt.sent
         attempt.written = True
+        self.side.events.trace(
+            "attempt_sent",
+            session_name(attempt.session),
+            attempt=one.place,
+            host=self.name,
+            connection=connection.name,
+        )
         connection.write(
             frames.frame(
                 frames.SETUP,
@@ -466,6 +485,13 @@
 
     def finish(self, attempt: HostAttempt, ending: Ending, load: api.Load) -> None:
         if self.attempts.get(attempt.session) is attempt:
+            self.side.events.trace(
+                "session_ended" if attempt.stood else "attempt_ended",
+                session_name(attempt.session),
+                attempt=attempt.one.place,
+                host=self.name,
+                cause=ending.value.replace(" ", "_"),
+            )
             self.forget(attempt)
             self.side.callbacks.ended(attempt.one, ending, load)
 
@@ -525,6 +551,13 @@
             self.side.callbacks.ended(attempt.one, BINARY_ENDINGS["not understood", None], api.Load())
         else:
             attempt.description, attempt.stood = message.description, True
+            self.side.events.trace(
+                "session_established",
+                session_name(attempt.session),
+                attempt=attempt.one.place,
+                host=self.name,
+                connection=connection.name,
+            )
             self.side.callbacks.flowing(attempt.one)
         if connection.state == "leaving":
             connection.retire()
@@ -544,6 +577,15 @@
             )
             if not refusal and not earlier:
                 self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
+            else:
+                self.side.events.record(
+                    "release_ignored",
+                    session=session_name(message.session),
+                    host=self.name,
+                    connection=connection.name,
+                    cause=cause,
+                    reason="refusal" if refusal else "earlier_attempt",
+                )
         elif attempt.connection is connection:
             none = BINARY_ENDINGS["release", None]
             self.finish(attempt, BINARY_ENDINGS.get(("release", cause), none), load)
@@ -619,8 +661,11 @@
 class HostsSide:
     """All hosts."""
 
-    def __init__(self, wired: Wired, callbacks: HostCallbacks, now: Callable[[], int]) -> None:
-        self.wired, self.callbacks, self.now = wired, callbacks, now
+    def __init__(
+        self, wired: Wired, callbacks: HostCallbacks, now: Callable[[], int], events: EventLog
+    ) -> None:
+        self.wired, self.callbacks, self.now, self.events = wired, callbacks, now, events
+        self._connection_names = 0
         self._loop = asyncio.get_running_loop()
         self.hosts: dict[int, MediaHost] = {}
         self.opened = 0
@@ -630,6 +675,11 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch()
 
+    def next_connection_name(self) -> str:
+        """The name of a connection in the log."""
+        self._connection_names += 1
+        return f"h{self._connection_names}"
+
     def keep(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run this beside the rest."""
         task = self._loop.create_task(work)
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -18,6 +18,7 @@
 from burlmast.logic import Gateway
 from burlmast.node.acceptor import Acceptor
 from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
+from burlmast.node.eventlog import EventLog
 from burlmast.node.hosts import HostsSide, Wired
 from burlmast.node.names import Entry
 from burlmast.node.resolver import Resolver
@@ -40,7 +41,11 @@
         self._lines[kind] += 1
         if self._lines[kind] <= LINES and len(self._lines) <= 10 * LINES:
             last = " (the last line of this kind)" if self._lines[kind] == LINES else ""
-            print(f"{time.time():.3f} {self._name} {what}{last}", file=sys.stderr, flush=True)
+            self.write(f"{what}{last}")
+
+    def write(self, line: str) -> None:
+        """A line without any bound of its own."""
+        print(f"{time.time():.3f} {self._name} {line}", file=sys.stderr, flush=True)
 
 
 class Program(Attendant):
@@ -61,8 +66,11 @@
             configuration.streams,
             configuration.report,
         )
-        self.hosts = HostsSide(wired, self, self.now)
-        self.listener = ViewerListener(configuration, self.now, self.log.say, configuration.parts.viewers)
+        events = EventLog(self.now, self.log.write)
+        self.hosts = HostsSide(wired, self, self.now, events)
+        self.listener = ViewerListener(
+            configuration, self.now, self.log.say, configuration.parts.viewers, events
+        )
         self.listener.arm = self.arm
         self.listener.stands = self.hosts.stands
         self.listener.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -14,6 +14,7 @@
 from burlmast.node import lines
 from burlmast.node.configuration import Configuration
 from burlmast.node.descriptors import BATCH
+from burlmast.node.eventlog import EventLog
 from burlmast.node.hosts import Sent
 from burlmast.node.lines import Line, LineReader
 
@@ -59,6 +60,9 @@
 
     def __init__(self, listener: ViewerListener) -> None:
         self.listener = listener
+        self.name = listener.next_connection_name()
+        self.closed_because = ""  # the reason of this side's close
+        self.established = 0  # sessions that were answered on it
         self.reader = LineReader()
         self.transport: asyncio.Transport | None = None
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
@@ -99,10 +103,10 @@
                 self.listener.received(self, line)
         except Exception as why:
             self.listener.remark(f"a connection is closed: {type(why).__name__}: {why}")
-            self.close()
+            self.close("error")
         if wrong is not None:
             self.listener.counts["unreadable"] += 1
-            self.close()
+            self.close("unreadable")
 
     def _standing_by(self, found: list[Line]) -> list[Line]:
         """Without the set-ups that are given up by a later line of the same reading."""
@@ -122,11 +126,13 @@
 
     def eof_received(self) -> bool:
         # Danger: the transport waits for what it has yet to write before it says that this one is gone.
+        self.closed_because = self.closed_because or "closed_by_peer"
         self.listener.abandoned(self)
         self.closing_since = self.listener.now()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.closed_because = self.closed_because or type(exc).__name__
         self.listener.disconnected(self)
 
     def standing(self, now: int) -> int:
@@ -147,6 +153,7 @@
             self.transport.write(data)
             if self.transport.get_write_buffer_size() > WRITE_MOST:
                 self.listener.counts["slow readers"] += 1
+                self.closed_because = self.closed_because or "slow_reader"
                 self.transport.abort()
 
     def say(self, data: bytes) -> None:
@@ -154,8 +161,9 @@
         self.sent_lately.append((self.listener.now(), data))
         self.write(data)
 
-    def close(self) -> None:
+    def close(self, reason: str) -> None:
         """Answer what is held on it, and close it."""
+        self.closed_because = self.closed_because or reason
         for name, playback in list(self.open.items()):
             self.write(lines.release(name, lines.FAILED))
             playback.reply = None
@@ -169,9 +177,16 @@
     """All viewers."""
 
     def __init__(
-        self, configuration: Configuration, now: Callable[[], int], remark: Callable[[str], None], most: int
+        self,
+        configuration: Configuration,
+        now: Callable[[], int],
+        remark: Callable[[str], None],
+        most: int,
+        events: EventLog,
     ) -> None:
         self.configuration, self.now, self.remark, self._most = configuration, now, remark, most
+        self.events = events
+        self._connection_names = 0
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
         self.stands: Callable[[Try, Sent], None] | None = None
@@ -190,6 +205,11 @@
 
     # Connections.
 
+    def next_connection_name(self) -> str:
+        """The name of a connection in the log."""
+        self._connection_names += 1
+        return f"v{self._connection_names}"
+
     @property
     def full(self) -> bool:
         """Whether no connection may be accepted until one of those that are here is closed."""
@@ -211,7 +231,7 @@
         chosen = next((one for one in idle if not one.waiting()[1]), idle[0] if idle else None)
         if chosen is not None:
             self.counts["closed for room"] += 1
-            chosen.close()
+            chosen.close("room")
         return chosen is not None
 
     def abandoned(self, viewer: ViewerConnection) -> None:
@@ -224,6 +244,14 @@
     def disconnected(self, viewer: ViewerConnection) -> None:
         """A connection is gone, and what was asked on it."""
         self.viewers.pop(viewer, None)
+        if viewer.open or viewer.established:
+            self.events.record(
+                "viewer_connection_closed",
+                connection=viewer.name,
+                reason=viewer.closed_because,
+                requests_open=len(viewer.open),
+                established=viewer.established,
+            )
         for at, data in viewer.sent_lately:
             if self.now() - at < CROSSING and not self._closed:
                 self.say(data)
@@ -251,12 +279,13 @@
             if viewer.closing_since and now - viewer.closing_since >= UNSOUND_FOR:
                 # Danger: who reads nothing would keep its descriptor for good.
                 self.counts["closed at once"] += 1
+                viewer.closed_because = viewer.closed_because or "not_read"
                 assert viewer.transport is not None
                 viewer.transport.abort()
             elif (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
                 if not viewer.waiting()[1]:
                     self.counts["closed unsound"] += 1
-                    viewer.close()
+                    viewer.close("unsound")
         if not self._closed:
             self._loop.call_later(SWEEP / 1e9, self.sweep)
 
@@ -264,7 +293,7 @@
         """Answer what is held, and close every connection."""
         self._closed = True
         for viewer in list(self.viewers):
-            viewer.close()
+            viewer.close("shutdown")
 
     # Messages.
 
@@ -277,7 +306,7 @@
             found(self, viewer, line)
         elif line.type not in FREE:
             self.counts["unknown type"] += 1
-            viewer.close()
+            viewer.close("unknown_message_type")
 
     def _ping(self, viewer: ViewerConnection, line: Line) -> None:
         viewer.sound = True
@@ -287,6 +316,7 @@
         playback = self.known.get(line.id)
         if playback is not None:
             viewer.sound = True
+            self.events.trace("request_cancelled", line.id, connection=viewer.name, state=playback.state)
             playback.reply = None
             self.leave(playback)
 
@@ -300,13 +330,14 @@
     def _set_up(self, viewer: ViewerConnection, line: Line) -> None:
         if len(line.id) != 16 or not HEX.issuperset(line.id):
             self.counts["no id"] += 1
-            viewer.close()
+            viewer.close("no_id")
             return
         try:
             wanted, sent, at = self.check(line)
         except (WrongForm, ValueError, OverflowError) as why:
             self.counts["wrong form"] += 1
             self.remark(f"a set-up is refused: {why}")
+            self.events.trace("request_refused", line.id, connection=viewer.name, reason="wrong_form")
             viewer.write(lines.release(line.id, lines.NONSENSE))
             return
         held = self.known.get(line.id)
@@ -333,6 +364,7 @@
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
         self._coming = Viewing(sent, viewer)
+        self.events.trace("request_received", name, connection=viewer.name, left_ms=wanted.patience // MS)
         playback = self.driver.arrive(self.now(), wanted, viewer, name)
         if playback.state == "asked":
             self.known[name] = viewer.open[name] = playback
@@ -342,6 +374,7 @@
         if self.driver is None or self.host_number is None or self.stands is None:
             return
         self._coming = Viewing(sent, viewer)
+        self.events.trace("session_handed_over", name, connection=viewer.name, host=at)
         one = self.driver.hand_over(self.now(), wanted, name, self.host_number(at))
         self.known[name] = one.playback
         self.stands(one, sent)
@@ -417,9 +450,11 @@
         if final.kind == "plays":
             flowing = [one for one in playback.tries if one.state == "flowing"]
             viewer.write(lines.answer(name, flowing[-1].handle.description))
+            viewer.established += 1
         else:
             viewer.write(lines.release(name, CAUSES[final.kind]))
         self.counts[final.kind] += 1
+        self.events.trace("request_answered", name, connection=viewer.name, answer=final.kind)
 
     def over(self, playback: Playback) -> None:
         """Nothing is held for it any more; a viewer whose playback ended without it is told."""
@@ -439,7 +474,9 @@
         asked = viewing.viewer if isinstance(viewing, Viewing) else None
         if asked is not None and asked.usable:
             asked.say(data)
+            self.events.trace("end_sent", playback.public, connection=asked.name)
         else:
+            self.events.record("end_not_on_its_connection", session=playback.public)
             self.say(data)
 
     def say(self, data: bytes) -> None:
@@ -447,8 +484,16 @@
         # Danger: who asked once and keeps the connection may not listen for what others are owed.
         usable = [viewer for viewer in self.viewers if viewer.usable and viewer.sound]
         if usable:
-            max(usable, key=lambda viewer: (viewer.asked, viewer.last_received)).say(data)
+            chosen = max(usable, key=lambda viewer: (viewer.asked, viewer.last_received))
+            self.events.record(
+                "end_sent_elsewhere",
+                connection=chosen.name,
+                asked=chosen.asked,
+                established=chosen.established,
+            )
+            chosen.say(data)
         else:
+            self.events.record("end_without_connection", pending=len(self.pending))
             self.pending.append(data)
 
     def _forget(self, playback: Playback) -> None:
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -121,7 +121,7 @@
         line, _ = await playing(one, OTHER)
         (viewer,) = one.program.listener.viewers
         line.raw(asked(ID))
-        viewer.close()  # it lay in the socket, and is never read
+        viewer.close("test")  # it lay in the socket, and is never read
         assert await line.hear() == {}
         again = await one.line()
         again.raw(asked(ID))
