--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -78,6 +78,7 @@
         self.heard: list[Frame] = []
         self.links: list[asyncio.StreamWriter] = []
         self.carried: list[tuple[int, asyncio.StreamWriter]] = []  # set-ups, and the connection of each
+        self.to_repeat: list[bytes] = []  # releases that the next connection to be opened carries again
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -89,6 +90,8 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One connection, to its end."""
         self.links.append(writer)
+        repeated, self.to_repeat = self.to_repeat, []
+        writer.write(b"".join(repeated))
         taken = FrameReader()
         try:
             while data := await reader.read(65536):
@@ -105,6 +108,17 @@
             self.links.remove(writer)
             writer.close()
 
+    def end(self, name: str, cause: int = 16) -> asyncio.StreamWriter:
+        """Release a session as the protocol has it: on the connection of its set-up, failing that on any open
+        one, and again on the next one that is opened. The connection that was written to."""
+        session = int(name, 16)
+        origin = [writer for number, writer in self.carried if number == session][-1]
+        writer = origin if origin in self.links else self.links[0]
+        message = release(session, cause)
+        writer.write(message)
+        self.to_repeat.append(message)
+        return writer
+
     def of(self, kind: int) -> list[Frame]:
         return [message for message in self.heard if message.kind == kind]
 
@@ -168,6 +182,18 @@
     def raw(self, data: bytes) -> None:
         self.writer.write(data)
 
+    async def hear_end(self, name: str, within: float) -> float:
+        """Read and acknowledge until the end of this session comes; the seconds it took."""
+        began = time.monotonic()
+        async with asyncio.timeout(within):
+            while raw := await self.reader.readline():
+                message = json.loads(raw)
+                if message["type"] == "release":
+                    self.say("released", message["id"])
+                    if message["id"] == name:
+                        return time.monotonic() - began
+        raise AssertionError("the connection was closed")
+
     async def hear(self) -> dict[str, Any]:
         """The next message; empty where the connection is closed."""
         async with asyncio.timeout(8):
