An end counts as delivered when a viewer acknowledges it, not when it is written

What callers saw: a session ended at its host and its viewer never received the release, because the connection it was written to was cut, reset more than 50 ms later, read by a health check or a bad client, or because it fell out of a queue of bounded length that held ends without a connection. Cause: node/viewers.py took a write for a delivery; it sent again only what was written within 50 ms of a lost connection, gave pending ends to whoever connected next, and kept at most as many as viewers may connect. Change: node/delivery.py, free of I/O: an end is pending until 'released' comes for it; it is sent once on each connection, again after 200 ms, at once when the connection that carried it last is lost, on each new one, for 10 s. Within the second that the protocol allows four connections are tried. A move wants no answer and is sent again on a loss alone.

--- /dev/null
+++ b/burlmast/node/delivery.py
@@ -0,0 +1,184 @@
+"""Delivers the ends of established sessions to viewers at least once. Free of I/O.
+
+A session belongs to no connection: its end may be written on any of them, and a connection that takes bytes
+need not be read by anyone. A viewer that has received an end says `released`; until it does, the end is sent
+on one connection after another, once on each, and at once when the connection that carried it last is lost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from burlmast.node.eventlog import EventLog
+
+MS = 1_000_000
+RESEND_AFTER = 200 * MS  # four connections are tried within the second that the protocol allows
+SLOW_RESEND_AFTER = 500 * MS  # once that second is over
+PROMPT = 1_000 * MS  # from a session's end until its viewer has to be released, by the protocol
+GIVE_UP_AFTER = 10_000 * MS  # an end that could not be sent is due within 8 s, by the protocol
+UNACKNOWLEDGED_KEPT = (
+    1_000 * MS
+)  # how long a message that wants no acknowledgement is kept for a lost connection
+
+
+class EndConnection(Protocol):
+    """A viewers' connection as far as an end is concerned."""
+
+    name: str
+    sound: bool  # a message of right form has come on it
+    asked: int  # set-ups of right form that came on it
+    acknowledged: int  # ends that were acknowledged on it
+    last_received: int  # nanoseconds
+
+    @property
+    def usable(self) -> bool:
+        """Whether something can be written on it."""
+
+    def write(self, data: bytes) -> None:
+        """Write, or lose the connection."""
+
+
+class Timer(Protocol):
+    """What a call to `later` returns."""
+
+    def cancel(self) -> None:
+        """Do not call."""
+
+
+@dataclass(slots=True, eq=False)
+class PendingEnd:
+    """The end of a session that nobody is known to have received. Times in nanoseconds."""
+
+    session: str
+    message: bytes
+    preferred: EndConnection | None  # the connection that asked for the session
+    wants_acknowledgement: bool
+    ended_at: int
+    due: int  # when it is sent, again or for the first time
+    tried: list[EndConnection] = field(default_factory=list)
+
+
+class EndDelivery:
+    """The ends that are not known to have been received."""
+
+    def __init__(
+        self,
+        connections: Callable[[], Iterable[EndConnection]],
+        now: Callable[[], int],
+        later: Callable[[float, Callable[[], None]], Timer],
+        events: EventLog,
+    ) -> None:
+        """`connections` are those that are open; `later` calls after so many seconds."""
+        self._connections, self._now, self._later, self._events = connections, now, later, events
+        self._timer: Timer | None = None
+        self._closed = False
+        self.pending: dict[str, PendingEnd] = {}
+
+    def send(
+        self,
+        session: str,
+        message: bytes,
+        preferred: EndConnection | None,
+        wants_acknowledgement: bool = True,
+    ) -> None:
+        """Send the end of a session until it is acknowledged."""
+        now = self._now()
+        end = PendingEnd(session, message, preferred, wants_acknowledgement, now, now)
+        self.pending[session] = end
+        self._send(end, "ended")
+        self._arm()
+
+    def acknowledge(self, session: str, connection: EndConnection) -> None:
+        """A viewer has received the end of this session."""
+        end = self.pending.pop(session, None)
+        if end is None:
+            return
+        connection.acknowledged += 1
+        fields = {"connection": connection.name, "sends": len(end.tried)}
+        if len(end.tried) > 1:
+            self._events.record("end_acknowledged", session=session, **fields)
+        else:
+            self._events.trace("end_acknowledged", session, **fields)
+
+    def connection_made(self) -> None:
+        """A connection is new: ends that found none before go out."""
+        now = self._now()
+        for end in list(self.pending.values()):
+            if end.due <= now:
+                self._send(end, "new_connection")
+
+    def connection_lost(self, connection: EndConnection) -> None:
+        """What this connection carried last may not have arrived."""
+        for end in list(self.pending.values()):
+            if end.tried and end.tried[-1] is connection:
+                end.due = self._now()
+                self._send(end, "connection_lost")
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._closed = True
+        self.pending.clear()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _arm(self) -> None:
+        if self._timer is None and self.pending and not self._closed:
+            self._timer = self._later(RESEND_AFTER / 1e9, self._fire)
+
+    def _fire(self) -> None:
+        self._timer = None
+        now = self._now()
+        for end in list(self.pending.values()):
+            if self._expired(end, now):
+                del self.pending[end.session]
+            elif end.wants_acknowledgement and end.due <= now:
+                self._send(end, "not_acknowledged")
+        self._arm()
+
+    def _expired(self, end: PendingEnd, now: int) -> bool:
+        age = now - end.ended_at
+        if not end.wants_acknowledgement and end.tried:
+            return age >= UNACKNOWLEDGED_KEPT
+        if age < GIVE_UP_AFTER:
+            return False
+        self._events.record("end_given_up", session=end.session, sends=len(end.tried))
+        return True
+
+    def _send(self, end: PendingEnd, reason: str) -> None:
+        if self._closed:
+            return
+        connection = self._choose(end)
+        if connection is None:
+            if not end.tried and reason == "ended":
+                self._events.record("end_without_connection", session=end.session, pending=len(self.pending))
+            return
+        now = self._now()
+        end.tried.append(connection)
+        end.due = now + (RESEND_AFTER if now - end.ended_at < PROMPT else SLOW_RESEND_AFTER)
+        self._log_send(end, connection, reason)
+        connection.write(end.message)
+
+    def _choose(self, end: PendingEnd) -> EndConnection | None:
+        """The connection that asked, else the one that is most likely read by whom the session belongs to."""
+        untried = [
+            connection
+            for connection in self._connections()
+            if connection.usable and connection not in end.tried
+        ]
+        if end.preferred in untried:
+            return end.preferred
+        return max(untried, key=_likely_read, default=None)
+
+    def _log_send(self, end: PendingEnd, connection: EndConnection, reason: str) -> None:
+        fields = {"connection": connection.name, "sends": len(end.tried), "reason": reason}
+        if connection is end.preferred:
+            self._events.trace("end_sent", end.session, **fields)
+        else:
+            self._events.record("end_sent_elsewhere", session=end.session, **fields)
+
+
+def _likely_read(connection: EndConnection) -> tuple[bool, int, int]:
+    """How likely a connection's client passes on the ends of sessions that others asked for."""
+    return connection.sound, connection.asked, connection.last_received
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import select
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from math import isfinite
 from typing import Any
@@ -13,6 +13,7 @@
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
 from burlmast.node import lines
 from burlmast.node.configuration import Configuration
+from burlmast.node.delivery import EndDelivery
 from burlmast.node.descriptors import BATCH
 from burlmast.node.eventlog import EventLog
 from burlmast.node.hosts import Sent
@@ -22,12 +23,11 @@
 # Who sends nothing sound is owed a close within 3 s of connecting, by the platform's word.
 UNSOUND_FOR = 1_500 * MS
 SWEEP = 250 * MS
-CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
 WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 HEX = frozenset("0123456789abcdef")
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
-FREE = frozenset(("progress", "released", "note", "rate", "move", "pong"))  # they want no answer
+FREE = frozenset(("progress", "note", "rate", "move", "pong"))  # they want no answer
 CAUSES = {"rejected": lines.REFUSED, "aborted": lines.FAILED, "cut": lines.FAILED}
 ENDS = {Ending.SERVED: lines.ENDED}
 
@@ -63,6 +63,7 @@
         self.name = listener.next_connection_name()
         self.closed_because = ""  # the reason of this side's close
         self.established = 0  # sessions that were answered on it
+        self.acknowledged = 0  # ends that were acknowledged on it
         self.reader = LineReader()
         self.transport: asyncio.Transport | None = None
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
@@ -70,7 +71,6 @@
         self.sound = False
         self.asked = 0  # sound set-ups on it
         self.partial_since = 0  # since when nothing has come to the line that has begun; 0: none has
-        self.sent_lately: deque[tuple[int, bytes]] = deque(maxlen=64)  # lately, of what stood
         self.closing_since = 0
         self._poll = select.poll()
 
@@ -156,11 +156,6 @@
                 self.closed_because = self.closed_because or "slow_reader"
                 self.transport.abort()
 
-    def say(self, data: bytes) -> None:
-        """Write what has to be said on another connection if this one is closing already."""
-        self.sent_lately.append((self.listener.now(), data))
-        self.write(data)
-
     def close(self, reason: str) -> None:
         """Answer what is held on it, and close it."""
         self.closed_because = self.closed_because or reason
@@ -193,13 +188,11 @@
         self.host_number: Callable[[str], int] | None = None
         self.viewers: dict[ViewerConnection, None] = {}  # in the order in which they came
         self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
-        self.pending: deque[bytes] = deque(
-            maxlen=configuration.parts.viewers
-        )  # releases that found no connection
         self.counts: Counter[str] = Counter()
         self.accepted = 0  # connections that the listener has taken and that are not here yet
         self.freed: Callable[[], None] = lambda: None  # after a connection has gone
         self._loop = asyncio.get_running_loop()
+        self.ends = EndDelivery(lambda: self.viewers, now, self._loop.call_later, events)
         self._closed = False
         self.ready = False  # tests are passed from then on; what comes earlier is served all the same
 
@@ -220,8 +213,7 @@
         self.viewers[viewer] = None
         if sum(1 for one in self.viewers if one.usable) > self._most:
             self.make_room()
-        while self.pending and viewer.usable and not self._closed:
-            viewer.say(self.pending.popleft())
+        self.ends.connection_made()
 
     def make_room(self) -> bool:
         """Close the connection that is missed least; False where something is asked on each."""
@@ -252,9 +244,7 @@
                 requests_open=len(viewer.open),
                 established=viewer.established,
             )
-        for at, data in viewer.sent_lately:
-            if self.now() - at < CROSSING and not self._closed:
-                self.say(data)
+        self.ends.connection_lost(viewer)
         self.abandoned(viewer)
         self.freed()
 
@@ -292,6 +282,7 @@
     def close(self) -> None:
         """Answer what is held, and close every connection."""
         self._closed = True
+        self.ends.close()
         for viewer in list(self.viewers):
             viewer.close("shutdown")
 
@@ -312,6 +303,9 @@
         viewer.sound = True
         viewer.write(lines.pong(line.id, self.ready))
 
+    def _released(self, viewer: ViewerConnection, line: Line) -> None:
+        self.ends.acknowledge(line.id, viewer)
+
     def _release(self, viewer: ViewerConnection, line: Line) -> None:
         playback = self.known.get(line.id)
         if playback is not None:
@@ -462,39 +456,16 @@
         ending = playback.tries[-1].ending if playback.tries else None
         if playback.state == "over" and ending is not Ending.CALLED_OFF:
             cause = ENDS.get(ending, lines.CUT) if ending is not None else lines.CUT
-            self.tell(playback, lines.release(playback.public, cause))
+            self._send_end(playback, lines.release(playback.public, cause))
 
     def moved(self, playback: Playback) -> None:
         """It has ended here, and its viewer comes again."""
-        self.tell(playback, lines.move(playback.public))
-
-    def tell(self, playback: Playback, data: bytes) -> None:
-        """Send what concerns something that stands: on the connection that asked for it, or another."""
-        viewing = playback.timeline
-        asked = viewing.viewer if isinstance(viewing, Viewing) else None
-        if asked is not None and asked.usable:
-            asked.say(data)
-            self.events.trace("end_sent", playback.public, connection=asked.name)
-        else:
-            self.events.record("end_not_on_its_connection", session=playback.public)
-            self.say(data)
-
-    def say(self, data: bytes) -> None:
-        """Send what concerns something that stands on some connection."""
-        # Danger: who asked once and keeps the connection may not listen for what others are owed.
-        usable = [viewer for viewer in self.viewers if viewer.usable and viewer.sound]
-        if usable:
-            chosen = max(usable, key=lambda viewer: (viewer.asked, viewer.last_received))
-            self.events.record(
-                "end_sent_elsewhere",
-                connection=chosen.name,
-                asked=chosen.asked,
-                established=chosen.established,
-            )
-            chosen.say(data)
-        else:
-            self.events.record("end_without_connection", pending=len(self.pending))
-            self.pending.append(data)
+        self._send_end(playback, lines.move(playback.public), wants_acknowledgement=False)
+
+    def _send_end(self, playback: Playback, message: bytes, wants_acknowledgement: bool = True) -> None:
+        view = playback.timeline
+        connection = view.viewer if isinstance(view, Viewing) else None
+        self.ends.send(playback.public, message, connection, wants_acknowledgement)
 
     def _forget(self, playback: Playback) -> None:
         if self.known.get(playback.public) is playback:
@@ -507,5 +478,6 @@
 HANDLERS: dict[str, Callable[[ViewerListener, ViewerConnection, Line], None]] = {
     "setup": ViewerListener._set_up,
     "release": ViewerListener._release,
+    "released": ViewerListener._released,
     "ping": ViewerListener._ping,
 }
--- /dev/null
+++ b/tests/test_node_delivery.py
@@ -0,0 +1,133 @@
+"""Ends of sessions are delivered at least once: by time, loss and acknowledgement, on fake connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from burlmast.node.delivery import GIVE_UP_AFTER, PROMPT, RESEND_AFTER, UNACKNOWLEDGED_KEPT, EndDelivery
+from burlmast.node.eventlog import EventLog
+
+MS = 1_000_000
+
+
+class Connection:
+    """A viewers' connection that keeps what is written on it."""
+
+    def __init__(self, name: str, established: int = 0, acknowledged: int = 0, asked: int = 0) -> None:
+        self.name, self.established, self.acknowledged, self.asked = name, established, acknowledged, asked
+        self.sound, self.usable, self.last_received = True, True, 0
+        self.written: list[bytes] = []
+
+    def write(self, data: bytes) -> None:
+        self.written.append(data)
+
+
+class Timer:
+    """A timer that may be cancelled."""
+
+    def __init__(self, due: int, work: Callable[[], None]) -> None:
+        self.due, self.work, self.cancelled = due, work, False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class World:
+    """Connections, a clock that a test moves, and one delivery."""
+
+    def __init__(self, *connections: Connection) -> None:
+        self.connections, self.time, self.timers = list(connections), 0, list[Timer]()
+        self.lines: list[str] = []
+        events = EventLog(lambda: self.time, self.lines.append)
+        self.delivery = EndDelivery(lambda: self.connections, lambda: self.time, self._later, events)
+
+    def _later(self, seconds: float, work: Callable[[], None]) -> Timer:
+        self.timers.append(Timer(self.time + round(seconds * 1e9), work))
+        return self.timers[-1]
+
+    def pass_time(self, nanoseconds: int) -> None:
+        end = self.time + nanoseconds
+        while self.timers and min(timer.due for timer in self.timers) <= end:
+            timer = min(self.timers, key=lambda timer: timer.due)
+            self.timers.remove(timer)
+            self.time = max(self.time, timer.due)
+            if not timer.cancelled:
+                timer.work()
+        self.time = end
+
+    def lose(self, connection: Connection) -> None:
+        connection.usable = False
+        self.connections.remove(connection)
+        self.delivery.connection_lost(connection)
+
+    def connect(self, connection: Connection) -> Connection:
+        self.connections.append(connection)
+        self.delivery.connection_made()
+        return connection
+
+
+def test_an_end_goes_to_the_connection_that_asked_and_stays_there_once_acknowledged() -> None:
+    own, other = Connection("own"), Connection("other", established=5, acknowledged=5)
+    world = World(own, other)
+    world.delivery.send("a", b"end", own)
+    world.delivery.acknowledge("a", own)
+    world.pass_time(GIVE_UP_AFTER)
+    assert (own.written, other.written, world.delivery.pending) == ([b"end"], [], {})
+    assert all(timer.cancelled for timer in world.timers) or not world.timers
+
+
+def test_an_end_that_nobody_acknowledges_goes_once_to_each_connection_within_the_prompt_time() -> None:
+    connections = [Connection(f"c{number}") for number in range(4)]
+    world = World(*connections)
+    world.delivery.send("a", b"end", connections[0])
+    world.pass_time(PROMPT - RESEND_AFTER)
+    assert [connection.written for connection in connections] == [[b"end"]] * 4
+    world.pass_time(GIVE_UP_AFTER)
+    assert [connection.written for connection in connections] == [[b"end"]] * 4
+    assert not world.delivery.pending and "end_given_up session=a sends=4" in world.lines
+
+
+def test_an_end_on_a_lost_connection_is_sent_at_once_on_another() -> None:
+    own, other = Connection("own"), Connection("other")
+    world = World(own, other)
+    world.delivery.send("a", b"end", own)
+    world.pass_time(RESEND_AFTER // 2)
+    world.lose(own)
+    assert other.written == [b"end"]
+
+
+def test_an_end_without_a_connection_goes_to_each_that_comes_until_one_acknowledges() -> None:
+    world = World()
+    world.delivery.send("a", b"end", None)
+    world.pass_time(3_000 * MS)
+    health_check = world.connect(Connection("health check"))
+    assert health_check.written == [b"end"]
+    world.pass_time(20 * MS)
+    world.lose(health_check)
+    world.pass_time(3_000 * MS)
+    front = world.connect(Connection("front"))
+    assert front.written == [b"end"]
+    world.delivery.acknowledge("a", front)
+    assert not world.delivery.pending
+
+
+def test_a_message_that_wants_no_acknowledgement_is_sent_again_on_a_loss_alone() -> None:
+    own, other = Connection("own"), Connection("other")
+    world = World(own, other)
+    world.delivery.send("a", b"move", own, wants_acknowledgement=False)
+    world.pass_time(2 * RESEND_AFTER)
+    assert other.written == []
+    world.lose(own)
+    assert other.written == [b"move"]
+    world.pass_time(UNACKNOWLEDGED_KEPT + RESEND_AFTER)
+    assert not world.delivery.pending
+
+
+def test_a_closed_delivery_sends_nothing() -> None:
+    own, other = Connection("own"), Connection("other")
+    world = World(own, other)
+    world.delivery.send("a", b"end", own)
+    world.delivery.close()
+    world.lose(own)
+    world.pass_time(GIVE_UP_AFTER)
+    assert other.written == []
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -101,7 +101,7 @@
         line.writer.close()
         await until(lambda: not one.program.listener.viewers)
         host.links[0].write(release(SESSION, 41))
-        await until(lambda: one.program.listener.pending)
+        await until(lambda: one.program.listener.ends.pending)
         assert (await (await one.line()).hear())["id"] == ID
 
     run(work, tmp_path)
