A session's end goes first where ends were acknowledged, not to who asked most

Cause: the substitute was chosen by the number of set-ups asked on it, which anybody can raise. Change: the order is acknowledged ends, answered sessions, sound, last received (node/delivery.py).

--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -28,7 +28,7 @@
 
     name: str
     sound: bool  # a message of right form has come on it
-    asked: int  # set-ups of right form that came on it
+    established: int  # sessions that were answered on it
     acknowledged: int  # ends that were acknowledged on it
     last_received: int  # nanoseconds
 
@@ -179,6 +179,11 @@
             self._events.record("end_sent_elsewhere", session=end.session, **fields)
 
 
-def _likely_read(connection: EndConnection) -> tuple[bool, int, int]:
+def _likely_read(connection: EndConnection) -> tuple[bool, bool, bool, int]:
     """How likely a connection's client passes on the ends of sessions that others asked for."""
-    return connection.sound, connection.asked, connection.last_received
+    return (
+        connection.acknowledged > 0,
+        connection.established > 0,
+        connection.sound,
+        connection.last_received,
+    )
--- a/tests/test_node_delivery.py
+++ b/tests/test_node_delivery.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Callable
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from burlmast.node.delivery import GIVE_UP_AFTER, PROMPT, RESEND_AFTER, UNACKNOWLEDGED_KEPT, EndDelivery
 from burlmast.node.eventlog import EventLog
 
@@ -131,3 +134,49 @@
     world.lose(own)
     world.pass_time(GIVE_UP_AFTER)
     assert other.written == []
+
+
+def test_an_end_whose_connection_is_gone_goes_first_where_ends_were_acknowledged() -> None:
+    bad_client = Connection("bad client", asked=400)
+    bad_client.last_received = 9
+    health_check = Connection("health check")
+    health_check.last_received = 10
+    front = Connection("front", established=2, acknowledged=1, asked=2)
+    silent = Connection("asked once", established=1, asked=1)
+    world = World(bad_client, health_check, silent, front)
+    world.delivery.send("a", b"end", None)
+    assert front.written == [b"end"]
+    world.pass_time(RESEND_AFTER)
+    assert silent.written == [b"end"]
+    assert bad_client.written == health_check.written == []
+
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["wait", "lose", "connect", "end"]), st.integers(0, 5)), min_size=1, max_size=40
+)
+
+
+@given(STEPS)
+def test_whatever_is_lost_a_connection_that_is_read_receives_every_recent_end_once(
+    steps: list[tuple[str, int]],
+) -> None:
+    world = World(Connection("c0"))
+    ends: list[str] = []
+    everyone = list(world.connections)
+    for number, (step, choice) in enumerate(steps):
+        if step == "wait":
+            world.pass_time(choice * 37 * MS)
+        elif step == "lose" and world.connections:
+            world.lose(world.connections[choice % len(world.connections)])
+        elif step == "connect":
+            everyone.append(world.connect(Connection(f"c{number + 1}")))
+        elif step == "end":
+            preferred = world.connections[choice % len(world.connections)] if world.connections else None
+            world.delivery.send(f"s{number}", f"s{number}".encode(), preferred)
+            ends.append(f"s{number}")
+    reader = world.connect(Connection("reader", acknowledged=1))
+    everyone.append(reader)
+    world.pass_time(PROMPT)
+    assert {written.decode() for written in reader.written} == set(ends)
+    for connection in everyone:
+        assert len(connection.written) == len(set(connection.written)), "once on each"
