A session's end is believed on a connection that carried an earlier, refused attempt

What callers saw: the host released a session on a connection that had carried an earlier attempt of the same request, since the session's own was lost on its side; the gateway took it for a late copy of the earlier answer, and the viewer never received the end. Cause: node/hosts.py, MediaHost._released, ignored any release on such a connection while it believed the session's own connection to be open, whatever the cause. Change: a connection remembers by which cause each attempt was refused (CarriedAttempts). Causes 16 and 31, which only an established session gets, are taken for a copy only where the earlier attempt got the same one, or none.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -23,6 +23,8 @@
 # A host that was silent for half of that is dialled; two failures in a row, and it is gone.
 SILENT = 4_000 * MS
 GONE_AFTER = 2
+NO_CAUSE = -1  # of a release that names none
+ENDED, CANCELLED = 16, 31  # causes of a release that only an established session gets
 CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
 CARRIED = 32  # set-ups on a connection after which a second answer to the first is no longer expected
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
@@ -95,6 +97,35 @@
     timer: asyncio.TimerHandle
 
 
+class CarriedAttempts:
+    """The attempts whose set-ups a connection has carried lately, and the cause by which each was refused."""
+
+    def __init__(self) -> None:
+        self._causes: dict[int, int | None] = {}  # by the number of the playback, oldest first
+
+    def __contains__(self, playback: int) -> bool:
+        return playback in self._causes
+
+    def add(self, playback: int) -> None:
+        """A set-up is sent."""
+        self._causes.pop(playback, None)
+        self._causes[playback] = None
+        if len(self._causes) > CARRIED:
+            del self._causes[next(iter(self._causes))]
+
+    def refused(self, playback: int, cause: int | None) -> None:
+        """The host has refused it."""
+        if playback in self._causes:
+            self._causes[playback] = NO_CAUSE if cause is None else cause
+
+    def may_repeat(self, playback: int, cause: int | None) -> bool:
+        """Whether a release may be a second copy of the host's answer to an attempt that was carried here."""
+        if playback not in self._causes:
+            return False
+        known = self._causes[playback]
+        return cause not in (ENDED, CANCELLED) or known is None or known == cause
+
+
 class HostConnection(asyncio.BufferedProtocol):
     """One connection to a host."""
 
@@ -108,7 +139,7 @@
         self.state = "connecting"  # connecting, open, leaving (nothing new), closed
         self.stuck_since = 0  # since when half a message is waited for
         self.used = host.side.now()  # when something last passed on it
-        self.carried: deque[int] = deque(maxlen=CARRIED)  # playbacks whose set-ups it has carried lately
+        self.carried = CarriedAttempts()
         self.sent_lately: deque[tuple[int, bytes]] = deque(maxlen=CARRIED)  # lately, of what stands
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -432,7 +463,7 @@
         """Send it there, once what its viewer has written by now has been read."""
         attempt.connection = attempt.origin = connection
         connection.out[attempt.session] = attempt
-        connection.carried.append(attempt.one.playback.number)
+        connection.carried.add(attempt.one.playback.number)
         if self.side.callbacks.unread(attempt.one):
             self.side.after_reading(lambda: self.write(connection, attempt))
         else:
@@ -568,12 +599,12 @@
             return
         cause, load = message.cause, message.load(self.side.wired.report)
         if attempt.one.state == "flowing":
-            # Danger: what answers an earlier attempt may be said twice, late; what plays now plays on.
+            # What answers an earlier attempt may come twice, late; a session that was established goes on.
             refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
             earlier = (
                 attempt.origin in self.connections
                 and connection is not attempt.origin
-                and attempt.one.playback.number in connection.carried
+                and connection.carried.may_repeat(attempt.one.playback.number, cause)
             )
             if not refusal and not earlier:
                 self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
@@ -587,6 +618,7 @@
                     reason="refusal" if refusal else "earlier_attempt",
                 )
         elif attempt.connection is connection:
+            connection.carried.refused(attempt.one.playback.number, cause)
             none = BINARY_ENDINGS["release", None]
             self.finish(attempt, BINARY_ENDINGS.get(("release", cause), none), load)
 
