A release that may be lost at a host's connection has another connection opened until one is up

What callers saw: a host wrote a session's release on a connection that broke, could not be read or held an unfinished message; the host repeats a release on the next connection that is opened, the gateway opened none, and the viewer never received it or received it after 4 s of silence. Cause: node/hosts.py dialled after a lost connection alone, once: not after a message that cannot be read, not while a message stays unfinished, and not again where that dial did not come up within the settings' time though others were open. Change: MediaHost.reopen, after each of them and after a release that was not believed; it is wanted until a connection that was dialled after it is up, at each look; beside open connections a dial may take four times the settings' time.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -26,6 +26,9 @@
 NO_CAUSE = -1  # of a release that names none
 ENDED, CANCELLED = 16, 31  # causes of a release that only an established session gets
 CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
+# A release behind an unfinished message has to reach its viewer within 1 s, by the protocol.
+PARTIAL_TOLERATED = 250 * MS
+REOPEN_PATIENCE = 4  # times the settings' time for a connection
 CARRIED = 32  # set-ups on a connection after which a second answer to the first is no longer expected
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
@@ -138,6 +141,8 @@
         self.probes: dict[int, SentProbe] = {}
         self.state = "connecting"  # connecting, open, leaving (nothing new), closed
         self.stuck_since = 0  # since when half a message is waited for
+        self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
+        self.dialled_at = host.side.now()
         self.used = host.side.now()  # when something last passed on it
         self.carried = CarriedAttempts()
         self.sent_lately: deque[tuple[int, bytes]] = deque(maxlen=CARRIED)  # lately, of what stands
@@ -197,13 +202,27 @@
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
         self.used = self.host.side.now()
-        self.stuck_since = self.host.side.now() if self.reader.partial else 0
+        self.stuck_since = self.used if self.reader.partial else 0
+        self._watch_partial(new=bool(found))
         for one in found:
             self.host.received(self, one)
         if wrong is not None:
             self.host.side.callbacks.remark(f"host {self.host.name}: {wrong}")
             self.close("not understood")
 
+    def _watch_partial(self, new: bool) -> None:
+        """See after a message that stays unfinished: what the host writes behind it is read as its bytes."""
+        if not self.reader.partial:
+            self.partial_since = 0
+        elif new or not self.partial_since:
+            began = self.partial_since = self.used
+            wait = min(PARTIAL_TOLERATED, self.host.side.wired.connect)
+            self.host.side.later(wait, lambda: self._partial_late(began))
+
+    def _partial_late(self, began: int) -> None:
+        if self.partial_since == began and self.state != "closed":
+            self.host.reopen("partial_message")
+
     def eof_received(self) -> bool:
         # Danger: the transport says so a turn of the loop later, and what is written until then is lost.
         self.close("connection lost")
@@ -269,6 +288,7 @@
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
         self.last_received = side.now()
         self.failures = 0
+        self.reopen_since = 0  # since when a connection that is newer than this is needed; 0: none is
 
     # Connections.
 
@@ -302,14 +322,30 @@
         least = min(connections, key=lambda connection: len(connection.out))
         return least if len(least.out) < self.side.wired.streams else None
 
-    def dial(self) -> None:
+    def dial(self, wait: int = 0) -> None:
+        """Open a connection; `wait` is how long it may take to come up, 0 for the time of the settings."""
         if self.listed:
             connection = HostConnection(self)
             self.connecting[connection] = None
             self.side.opened += 1
-            connection.timer = self.side.later(self.side.wired.connect, connection.overdue)
+            connection.timer = self.side.later(wait or self.side.wired.connect, connection.overdue)
             connection.task = self.side.keep(connection.dial())
 
+    def reopen(self, reason: str) -> None:
+        """Open a connection after a release may have been lost: its host repeats it there."""
+        if not self.stands():
+            return
+        if not self.reopen_since:
+            self.side.events.record("host_reopen", host=self.name, reason=reason)
+        self.reopen_since = self.side.now()
+        self._dial_for_reopen()
+
+    def _dial_for_reopen(self) -> None:
+        if self.connecting or not self.side.room():
+            return
+        # Where others carry the requests, one that comes up late is worth waiting for.
+        self.dial(REOPEN_PATIENCE * self.side.wired.connect if self.open_connections() else 0)
+
     def dial_no_more(self) -> None:
         """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
         needed = len(self.waiting) + bool(self.probes or self.backlog or self.stands())
@@ -321,6 +357,8 @@
         self.connections[connection] = None
         self.failures = 0
         self.last_received = self.side.now()
+        if connection.dialled_at >= self.reopen_since:
+            self.reopen_since = 0
         for data in self.backlog:
             connection.say(data)
         self.backlog.clear()
@@ -425,9 +463,9 @@
         for at, data in lately if why == "connection lost" else ():
             if self.side.now() - at < CROSSING:
                 self.tell(data)
-        if why == "connection lost" and self.stands() and not self.connecting:
-            # Danger: a process that dies may reset one connection at once and another seconds later.
-            self.dial()
+        if why in ("connection lost", "not understood"):
+            # A process that dies may also reset one connection at once and another seconds later.
+            self.reopen(why.replace(" ", "_"))
         self.keep_reachable()
 
     def stands(self) -> bool:
@@ -617,6 +655,8 @@
                     cause=cause,
                     reason="refusal" if refusal else "earlier_attempt",
                 )
+                if earlier and not refusal:
+                    self.reopen("release_ignored")
         elif attempt.connection is connection:
             connection.carried.refused(attempt.one.playback.number, cause)
             none = BINARY_ENDINGS["release", None]
@@ -672,11 +712,14 @@
                 connection.close("not understood")
         if not self.stands():
             self.last_received = now
+            self.reopen_since = 0
         elif not self.connections and not self.connecting:
             # Danger: the list may have dropped it while a connection was still hoped for.
             self.keep_reachable()
         elif now - self.last_received >= SILENT and not self.connecting:
             self.dial()
+        elif self.reopen_since:
+            self._dial_for_reopen()
         for connection in self.open_connections():
             if not self.fresh(connection, now) and self.spares(connection):
                 connection.close("retired")
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -394,6 +394,35 @@
     run(work, tmp_path, 1)
 
 
+@pytest.mark.parametrize("dial", ["comes up late", "does not come up"])
+def test_an_end_lost_with_its_connection_arrives_though_the_next_dial_fails(
+    tmp_path: Path, dial: str
+) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        for held in known(one, host).connections:
+            held.state = "leaving"  # so that the second session comes on a connection of its own
+        other = await one.line()
+        other.set_up(OTHER)
+        assert (await other.hear())["type"] == "answer"
+        gate = Gate(host.port)
+        carrier = next(writer for session, writer in host.carried if session == SESSION)
+        host.to_repeat.append(release(SESSION, 16))  # it was written, and is lost with the connection
+        began = time.monotonic()
+        carrier.transport.abort()
+        await until(lambda: gate.held)
+        if dial == "comes up late":
+            await asyncio.sleep(2 * SETTINGS["allowed"]["connectTimeoutMs"] / 1000)
+        else:
+            await until(lambda: gate.held > 1)
+        gate.open.set()
+        assert (await line.hear())["id"] == ID
+        assert dial != "comes up late" or time.monotonic() - began <= 1.05, "the protocol's limit and slack"
+        assert OTHER in one.program.listener.known
+
+    run(work, tmp_path, 1)
+
+
 def test_no_set_up_is_lost_on_a_connection_that_its_host_has_closed(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
