A connection on which a session's end is expected is not closed after a late set-up

What callers saw: a host that hung for longer than a set-up's time released its sessions on the connection that they were established on; the gateway had closed that connection as the set-up ran out of time, and the viewers never received the ends. Cause: HostConnection.retire closed a connection as soon as nothing was out on it, though the protocol has a host write a session's release on the connection of its set-up. Evidence: test_end_that_a_hung_host_writes_on_a_connection_the_gateway_retired_arrives failed before, by no release within 1.05 s. Change: a connection knows the sessions that were established on it; retired, it carries nothing new and is read until they have ended, or, where it is the last one of a host with sessions, until another is up.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -139,6 +139,7 @@
         self.transport: asyncio.Transport | None = None
         self.out: dict[int, HostAttempt] = {}
         self.probes: dict[int, SentProbe] = {}
+        self.sessions: set[int] = set()  # established by a set-up on it: their host releases them here
         self.state = "connecting"  # connecting, open, leaving (nothing new), closed
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
@@ -267,10 +268,10 @@
         self.host.lost(self, why)
 
     def retire(self) -> None:
-        """It carries nothing new, and is closed once nothing is out on it."""
+        """It carries nothing new, and is closed once nothing is out on it and no release is expected."""
         if self.state == "open":
             self.state = "leaving"
-        if self.state == "leaving" and not self.out and not self.probes:
+        if self.state == "leaving" and not (self.out or self.probes or self.host.expects_end_on(self)):
             self.close("retired")
 
 
@@ -365,6 +366,8 @@
         probes, self.probes = self.probes, []
         for session, began in probes:
             self._probe_on(connection, session, began)
+        for leaving in [other for other in self.connections if other.state == "leaving"]:
+            leaving.retire()
         # One set-up to a connection; those that came in the meantime have others of their own on the way.
         while self.waiting and (not connection.out or not self.connecting) and connection.state == "open":
             attempt = self.waiting.pop(0)
@@ -468,6 +471,13 @@
             self.reopen(why.replace(" ", "_"))
         self.keep_reachable()
 
+    def expects_end_on(self, connection: HostConnection) -> bool:
+        """Whether the host may write a session's release on this connection and on no other that is open."""
+        if connection.sessions:
+            return True
+        others = any(other.usable for other in self.connections if other is not connection)
+        return not others and self.stands()
+
     def stands(self) -> bool:
         """Whether something plays here."""
         return any(attempt.one.state == "flowing" for attempt in self.attempts.values())
@@ -544,7 +554,11 @@
             self.waiting.remove(attempt)
             self.dial_no_more()
         attempt.one.handle = None  # or the two would hold each other until the collector comes
-        attempt.origin = None
+        origin, attempt.origin = attempt.origin, None
+        if origin is not None:
+            origin.sessions.discard(attempt.session)
+            if origin.state == "leaving":
+                origin.retire()
         connection, attempt.connection = attempt.connection, None
         if connection is not None:
             if connection.out.get(attempt.session) is attempt:
@@ -620,6 +634,7 @@
             self.side.callbacks.ended(attempt.one, BINARY_ENDINGS["not understood", None], api.Load())
         else:
             attempt.description, attempt.stood = message.description, True
+            connection.sessions.add(attempt.session)
             self.side.events.trace(
                 "session_established",
                 session_name(attempt.session),
