The gateway reads on when it closes an idle connection to a host with sessions

What callers saw: a host's release that lay in the socket, or was on its way, as the gateway closed an idle connection was thrown away; the viewer never received the end while other connections to that host were open. Cause: HostConnection.close closed both directions at once (idle, room needed elsewhere), and the room that is made counted only open connections, so retired ones would hold descriptors. Change: the state closing: closed for writing, read until the host closes or the settings' time for a connection is over, then another connection is opened; four at most, since each holds a descriptor. Room is made by idle retired connections too, those without sessions first; a connection that is only wanted to hear a release again takes nobody's room.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -28,6 +28,7 @@
 CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
 # A release behind an unfinished message has to reach its viewer within 1 s, by the protocol.
 PARTIAL_TOLERATED = 250 * MS
+CLOSING_MOST = 4  # connections that are read on though closed: each holds a descriptor
 REOPEN_PATIENCE = 4  # times the settings' time for a connection
 CARRIED = 32  # set-ups on a connection after which a second answer to the first is no longer expected
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
@@ -140,7 +141,8 @@
         self.out: dict[int, HostAttempt] = {}
         self.probes: dict[int, SentProbe] = {}
         self.sessions: set[int] = set()  # established by a set-up on it: their host releases them here
-        self.state = "connecting"  # connecting, open, leaving (nothing new), closed
+        # connecting, open, leaving (nothing new), closing (closed for writing, still read), closed
+        self.state = "connecting"
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = host.side.now()
@@ -226,19 +228,20 @@
 
     def eof_received(self) -> bool:
         # Danger: the transport says so a turn of the loop later, and what is written until then is lost.
-        self.close("connection lost")
+        self.close("retired" if self.state == "closing" else "connection lost")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.close("connection lost")
+        self.close("retired" if self.state == "closing" and exc is None else "connection lost")
 
     @property
     def usable(self) -> bool:
         """Whether something can be written on it."""
-        return self.transport is not None and not self.transport.is_closing()
+        closed = self.state in ("closing", "closed")
+        return self.transport is not None and not closed and not self.transport.is_closing()
 
     def write(self, data: bytes) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        if self.usable and self.transport is not None:
             self.used = self.host.side.now()
             self.transport.write(data)
 
@@ -251,8 +254,38 @@
         """What is out on it has ended so; what stands belongs to no connection."""
         if self.state == "closed":
             return
+        if why == "retired" and self._reads_on():
+            self._close_for_writing()
+            return
+        if self.state == "closing":
+            self.host.side.closing -= 1
         self.state = "closed"
         self.host.connections.pop(self, None)
+        if self.timer is not None:
+            self.timer.cancel()
+        self._log_close(why)
+        if self.transport is not None:
+            self.transport.abort() if why == "not understood" else self.transport.close()
+        self.host.lost(self, why)
+
+    def _reads_on(self) -> bool:
+        """Whether what the host writes as this side closes has to be read."""
+        return self.usable and self.host.stands() and self.host.side.closing < CLOSING_MOST
+
+    def _close_for_writing(self) -> None:
+        """Read on until the host has closed its side too."""
+        self.state = "closing"
+        self.host.connections.pop(self, None)
+        self.host.side.closing += 1
+        self.timer = self.host.side.later(self.host.side.wired.connect, self._not_closed_by_host)
+        if self.transport is not None:
+            self.transport.write_eof()
+
+    def _not_closed_by_host(self) -> None:
+        self.close("retired")
+        self.host.reopen("not_closed_by_host")
+
+    def _log_close(self, why: str) -> None:
         if self.out or self.host.stands():
             self.host.side.events.record(
                 "host_connection_closed",
@@ -263,9 +296,6 @@
                 partial_message=self.reader.partial,
                 connections_left=len(self.host.connections),
             )
-        if self.transport is not None:
-            self.transport.abort() if why == "not understood" else self.transport.close()
-        self.host.lost(self, why)
 
     def retire(self) -> None:
         """It carries nothing new, and is closed once nothing is out on it and no release is expected."""
@@ -342,7 +372,7 @@
         self._dial_for_reopen()
 
     def _dial_for_reopen(self) -> None:
-        if self.connecting or not self.side.room():
+        if self.connecting or self.side.opened >= self.side.wired.most:
             return
         # Where others carry the requests, one that comes up late is worth waiting for.
         self.dial(REOPEN_PATIENCE * self.side.wired.connect if self.open_connections() else 0)
@@ -759,6 +789,7 @@
         self._loop = asyncio.get_running_loop()
         self.hosts: dict[int, MediaHost] = {}
         self.opened = 0
+        self.closing = 0  # connections that are closed for writing and still read
         self._sessions = 0
         self._closed = False
         self._turning: list[MediaHost] = []
@@ -793,11 +824,11 @@
         idle = [
             connection
             for host in self.hosts.values()
-            for connection in host.open_connections()
-            if host.spares(connection)
+            for connection in host.connections
+            if connection.usable and host.spares(connection)
         ]
         if idle:
-            min(idle, key=lambda connection: connection.used).close("retired")
+            min(idle, key=lambda connection: (bool(connection.sessions), connection.used)).close("retired")
         return bool(idle)
 
     def listed(self, entries: list[Entry], gone: Callable[[Entry], bool]) -> None:
@@ -887,7 +918,7 @@
             for connection in list(host.connecting):
                 connection.drop()
             for connection in list(host.connections):
-                connection.close("retired")
+                connection.close("shutdown")
         for task in self._tasks:
             task.cancel()
 
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -423,6 +423,39 @@
     run(work, tmp_path, 1)
 
 
+def test_an_end_that_crosses_the_gateways_close_of_an_idle_connection_arrives(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        at = known(one, host)
+        (old,) = at.connections
+        at.dial()
+        await until(lambda: len(at.connections) == 2)
+        host.end(ID)  # it lies in the socket when the gateway closes the connection
+        old.close("retired")
+        assert (await line.hear())["id"] == ID
+        await until(lambda: old.state == "closed" and len(host.links) == 1)
+        assert one.program.hosts.opened == 1 and one.program.hosts.closing == 0
+
+    run(work, tmp_path, 1)
+
+
+def test_a_host_that_does_not_close_its_side_holds_no_descriptor_for_long(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        _, host = await playing(one)
+        at = known(one, host)
+        (old,) = at.connections
+        at.dial()
+        await until(lambda: len(at.connections) == 2)
+        host.links[0].transport.pause_reading()  # it hangs
+        old.close("retired")
+        assert old.state == "closing"
+        await until(lambda: old.state == "closed" and len(at.connections) == 2)
+        assert one.program.hosts.opened == 2, "another was opened, on which it repeats what it released"
+        assert ID in one.program.listener.known
+
+    run(work, tmp_path, 1)
+
+
 def test_no_set_up_is_lost_on_a_connection_that_its_host_has_closed(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
