--- a/burlmast/node/eventlog.py
+++ b/burlmast/node/eventlog.py
@@ -13,6 +13,7 @@
 SECOND = 1_000_000_000  # nanoseconds
 SAMPLED_ONE_IN = 64  # sessions
 BURST = 200  # lines at once
+RESERVED = 100  # of these, for what is unusual
 REFILL = SECOND  # nanoseconds a line
 
 
@@ -33,10 +34,13 @@
 
     def record(self, event: str, **fields: object) -> None:
         """Record what is unusual."""
+        self._spend(event, fields, 0)
+
+    def _spend(self, event: str, fields: dict[str, object], reserve: int) -> None:
         now = self._now()
         self._lines = min(float(BURST), self._lines + (now - self._filled) / REFILL)
         self._filled = now
-        if self._lines < 1:
+        if self._lines < 1 + reserve:
             self.dropped += 1
             return
         self._lines -= 1
@@ -48,7 +52,7 @@
     def trace(self, event: str, session: str, **fields: object) -> None:
         """Record an ordinary step of a session, if the session is sampled."""
         if sampled(session):
-            self.record(event, session=session, **fields)
+            self._spend(event, {"session": session, **fields}, RESERVED)
 
 
 def session_name(session: int) -> str:
--- a/tests/test_node_eventlog.py
+++ b/tests/test_node_eventlog.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from burlmast.node.eventlog import BURST, REFILL, SAMPLED_ONE_IN, EventLog, sampled, session_name
+from burlmast.node.eventlog import BURST, REFILL, RESERVED, SAMPLED_ONE_IN, EventLog, sampled, session_name
 
 
 class Clock:
@@ -47,3 +47,15 @@
     assert lines == [
         f"{event} session={name}" for name in chosen for event in ("attempt_sent", "attempt_ended")
     ]
+
+
+def test_ordinary_steps_leave_lines_for_what_is_unusual() -> None:
+    lines: list[str] = []
+    log = EventLog(Clock(), lines.append)
+    chosen = next(name for name in map(session_name, range(10_000)) if sampled(name))
+    for _ in range(BURST):
+        log.trace("request_refused", chosen)
+    assert len(lines) == BURST - RESERVED
+    for _ in range(RESERVED):
+        log.record("end_given_up")
+    assert len(lines) == BURST
