A session's release is repeated at its host if the connection is lost within 8 s

A viewer ended its session, the gateway wrote the release on a connection that the host reset 0.3 s later without reading it, and the session went on at the host. Cause: node/hosts.py took the write for a delivery after 50 ms, the time in which two messages merely cross. Change: a release of an established session is sent again when the connection it was written to is lost within the protocol's 8 s; changes of rung as before, since a later one may have been sent.

--- a/burlmast/node/hosts.py
+++ b/burlmast/node/hosts.py
@@ -25,7 +25,10 @@
 GONE_AFTER = 2
 NO_CAUSE = -1  # of a release that names none
 ENDED, CANCELLED = 16, 31  # causes of a release that only an established session gets
-CROSSING = 50 * MS  # what was written so lately may have crossed a close: the platform's figure
+CROSSING = 50 * MS  # what was written so lately may have crossed a close, by the protocol
+# A session is over within 8 s of its end, by the protocol; its id is never used again, so a second release of
+# it is harmless.
+RELEASE_REPEATED = 8_000 * MS
 # A release behind an unfinished message has to reach its viewer within 1 s, by the protocol.
 PARTIAL_TOLERATED = 250 * MS
 CLOSING_MOST = 4  # connections that are read on though closed: each holds a descriptor
@@ -94,6 +97,13 @@
         self.description = ""
 
 
+class SentLately(NamedTuple):
+    """A message on an established session that a lost connection may not have delivered."""
+
+    message: bytes
+    repeat_until: int  # nanoseconds
+
+
 class SentProbe(NamedTuple):
     """A probe on its way."""
 
@@ -148,7 +158,7 @@
         self.dialled_at = host.side.now()
         self.used = host.side.now()  # when something last passed on it
         self.carried = CarriedAttempts()
-        self.sent_lately: deque[tuple[int, bytes]] = deque(maxlen=CARRIED)  # lately, of what stands
+        self.sent_lately: deque[SentLately] = deque()  # what concerned established sessions
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -245,10 +255,13 @@
             self.used = self.host.side.now()
             self.transport.write(data)
 
-    def say(self, data: bytes) -> None:
-        """Write what concerns something that stands, and has to be said elsewhere if it crosses a close."""
-        self.sent_lately.append((self.host.side.now(), data))
-        self.write(data)
+    def send_on_session(self, message: bytes, repeat_within: int) -> None:
+        """Write what concerns an established session, and elsewhere too if this connection is lost so soon."""
+        now = self.host.side.now()
+        while self.sent_lately and self.sent_lately[0].repeat_until <= now:
+            self.sent_lately.popleft()
+        self.sent_lately.append(SentLately(message, now + repeat_within))
+        self.write(message)
 
     def close(self, why: str) -> None:
         """What is out on it has ended so; what stands belongs to no connection."""
@@ -315,7 +328,7 @@
         self.attempts: dict[int, HostAttempt] = {}
         self.waiting: list[HostAttempt] = []  # for a connection
         self.probes: list[tuple[int, int]] = []  # probes that wait for one, and since when
-        self.backlog: list[bytes] = []  # messages on what stands that wait for one
+        self.backlog: list[tuple[bytes, int]] = []  # messages on established sessions that wait for one
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
         self.last_received = side.now()
         self.failures = 0
@@ -390,8 +403,8 @@
         self.last_received = self.side.now()
         if connection.dialled_at >= self.reopen_since:
             self.reopen_since = 0
-        for data in self.backlog:
-            connection.say(data)
+        for message, repeat_within in self.backlog:
+            connection.send_on_session(message, repeat_within)
         self.backlog.clear()
         probes, self.probes = self.probes, []
         for session, began in probes:
@@ -492,10 +505,10 @@
             probe.timer.cancel()
             took = max(0, self.side.now() - probe.began)
             self.side.callbacks.probed(self.number, Ending.BROKEN, took, api.Load())
-        lately, connection.sent_lately = connection.sent_lately, deque(maxlen=CARRIED)
-        for at, data in lately if why == "connection lost" else ():
-            if self.side.now() - at < CROSSING:
-                self.tell(data)
+        lately, connection.sent_lately = connection.sent_lately, deque()
+        for sent in lately if why == "connection lost" else ():
+            if self.side.now() < sent.repeat_until:
+                self.send_on_session(sent.message, sent.repeat_until - self.side.now())
         if why in ("connection lost", "not understood"):
             # A process that dies may also reset one connection at once and another seconds later.
             self.reopen(why.replace(" ", "_"))
@@ -619,7 +632,7 @@
                 # Danger: what answers nothing may answer nothing else on that connection either.
                 connection.retire()
         elif attempt.stood:
-            self.tell(frames.release(attempt.session))
+            self.send_on_session(frames.release(attempt.session), RELEASE_REPEATED)
 
     def spares(self, connection: HostConnection) -> bool:
         """Whether it carries nothing, and is not the last that could tell of what stands here."""
@@ -629,17 +642,17 @@
             and not (len(self.connections) == 1 and self.stands())
         )
 
-    def tell(self, data: bytes) -> None:
-        """Send what concerns something that stands, on any connection."""
+    def send_on_session(self, message: bytes, repeat_within: int) -> None:
+        """Send what concerns an established session, on any connection."""
         connections = self.open_connections() or [
             connection
             for connection in self.connections
             if connection.state == "leaving" and connection.usable
         ]
         if connections:
-            connections[0].say(data)
+            connections[0].send_on_session(message, repeat_within)
         elif self.listed:
-            self.backlog.append(data)
+            self.backlog.append((message, repeat_within))
             if not self.connecting:
                 self.dial()
 
@@ -899,7 +912,8 @@
         attempt = one.handle
         if isinstance(attempt, HostAttempt):
             one.rung = rung
-            attempt.host.tell(frames.frame(frames.RATE, attempt.session, {frames.RUNG: str(rung).encode()}))
+            message = frames.frame(frames.RATE, attempt.session, {frames.RUNG: str(rung).encode()})
+            attempt.host.send_on_session(message, CROSSING)
 
     def probe(self, number: int) -> None:
         """Look after a host."""
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -377,7 +377,8 @@
     run(work, tmp_path, 1, settings=settings)
 
 
-def test_a_release_that_crosses_its_hosts_close_is_said_again(tmp_path: Path) -> None:
+@pytest.mark.parametrize("after", [0.0, 0.3])
+def test_a_release_that_crosses_its_hosts_close_is_said_again(tmp_path: Path, after: float) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
         (carrier,) = host.links
@@ -387,6 +388,7 @@
         carrier.transport.pause_reading()
         line.say("release", cause=16)
         await until(lambda: link.sent_lately)
+        await asyncio.sleep(after)
         carrier.transport.abort()
         await until(lambda: host.of(frames.RELEASE))
         assert host.of(frames.RELEASE)[0].session == SESSION
