--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -9,12 +9,15 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from burlmast.node.eventlog import EventLog
 
 MS = 1_000_000
 RESEND_AFTER = 200 * MS  # four connections are tried within the second that the protocol allows
+# An end may overtake its session's answer on another connection; so long, while the answer may be held back.
+RESEND_AFTER_UNPROVEN = 700 * MS
+ANSWER_DELIVERED = 2_000 * MS  # after which an answer counts as delivered
 SLOW_RESEND_AFTER = 500 * MS  # once that second is over
 PROMPT = 1_000 * MS  # from a session's end until its viewer has to be released, by the protocol
 GIVE_UP_AFTER = 10_000 * MS  # an end that could not be sent is due within 8 s, by the protocol
@@ -31,6 +34,7 @@
     established: int  # sessions that were answered on it
     acknowledged: int  # ends that were acknowledged on it
     last_received: int  # nanoseconds
+    delivered_until: int  # all that was written before has been received, as an acknowledgement shows
 
     @property
     def usable(self) -> bool:
@@ -47,6 +51,13 @@
         """Do not call."""
 
 
+class Send(NamedTuple):
+    """An end was written on a connection."""
+
+    connection: EndConnection
+    at: int  # nanoseconds
+
+
 @dataclass(slots=True, eq=False)
 class PendingEnd:
     """The end of a session that nobody is known to have received. Times in nanoseconds."""
@@ -54,10 +65,27 @@
     session: str
     message: bytes
     preferred: EndConnection | None  # the connection that asked for the session
+    answered_at: int  # when the session's answer was written there; 0: there was none
     wants_acknowledgement: bool
     ended_at: int
     due: int  # when it is sent, again or for the first time
-    tried: list[EndConnection] = field(default_factory=list)
+    sends: list[Send] = field(default_factory=list)
+
+    @property
+    def last_connection(self) -> EndConnection | None:
+        """The connection that it was written on last."""
+        return self.sends[-1].connection if self.sends else None
+
+    def sent_on(self, connection: EndConnection) -> int | None:
+        """When it was written on this connection."""
+        return next((send.at for send in self.sends if send.connection is connection), None)
+
+    def answer_delivered(self) -> bool:
+        """Whether the viewer is known, or old enough, to have received the session's answer."""
+        if not self.answered_at or self.preferred is None or not self.preferred.usable:
+            return True
+        proven = self.preferred.delivered_until > self.answered_at
+        return proven or self.ended_at - self.answered_at >= ANSWER_DELIVERED
 
 
 class EndDelivery:
@@ -81,11 +109,12 @@
         session: str,
         message: bytes,
         preferred: EndConnection | None,
+        answered_at: int = 0,
         wants_acknowledgement: bool = True,
     ) -> None:
         """Send the end of a session until it is acknowledged."""
         now = self._now()
-        end = PendingEnd(session, message, preferred, wants_acknowledgement, now, now)
+        end = PendingEnd(session, message, preferred, answered_at, wants_acknowledgement, now, now)
         self.pending[session] = end
         self._send(end, "ended")
         self._arm()
@@ -96,8 +125,9 @@
         if end is None:
             return
         connection.acknowledged += 1
-        fields = {"connection": connection.name, "sends": len(end.tried)}
-        if len(end.tried) > 1:
+        connection.delivered_until = max(connection.delivered_until, end.sent_on(connection) or 0)
+        fields = {"connection": connection.name, "sends": len(end.sends)}
+        if len(end.sends) > 1:
             self._events.record("end_acknowledged", session=session, **fields)
         else:
             self._events.trace("end_acknowledged", session, **fields)
@@ -112,7 +142,7 @@
     def connection_lost(self, connection: EndConnection) -> None:
         """What this connection carried last may not have arrived."""
         for end in list(self.pending.values()):
-            if end.tried and end.tried[-1] is connection:
+            if end.last_connection is connection:
                 end.due = self._now()
                 self._send(end, "connection_lost")
 
@@ -139,11 +169,11 @@
 
     def _expired(self, end: PendingEnd, now: int) -> bool:
         age = now - end.ended_at
-        if not end.wants_acknowledgement and end.tried:
+        if not end.wants_acknowledgement and end.sends:
             return age >= UNACKNOWLEDGED_KEPT
         if age < GIVE_UP_AFTER:
             return False
-        self._events.record("end_given_up", session=end.session, sends=len(end.tried))
+        self._events.record("end_given_up", session=end.session, sends=len(end.sends))
         return True
 
     def _send(self, end: PendingEnd, reason: str) -> None:
@@ -151,12 +181,12 @@
             return
         connection = self._choose(end)
         if connection is None:
-            if not end.tried and reason == "ended":
+            if not end.sends and reason == "ended":
                 self._events.record("end_without_connection", session=end.session, pending=len(self.pending))
             return
         now = self._now()
-        end.tried.append(connection)
-        end.due = now + (RESEND_AFTER if now - end.ended_at < PROMPT else SLOW_RESEND_AFTER)
+        end.sends.append(Send(connection, now))
+        end.due = now + _resend_after(end, now)
         self._log_send(end, connection, reason)
         connection.write(end.message)
 
@@ -165,20 +195,26 @@
         untried = [
             connection
             for connection in self._connections()
-            if connection.usable and connection not in end.tried
+            if connection.usable and end.sent_on(connection) is None
         ]
         if end.preferred in untried:
             return end.preferred
         return max(untried, key=_likely_read, default=None)
 
     def _log_send(self, end: PendingEnd, connection: EndConnection, reason: str) -> None:
-        fields = {"connection": connection.name, "sends": len(end.tried), "reason": reason}
+        fields = {"connection": connection.name, "sends": len(end.sends), "reason": reason}
         if connection is end.preferred:
             self._events.trace("end_sent", end.session, **fields)
         else:
             self._events.record("end_sent_elsewhere", session=end.session, **fields)
 
 
+def _resend_after(end: PendingEnd, now: int) -> int:
+    if now - end.ended_at >= PROMPT:
+        return SLOW_RESEND_AFTER
+    return RESEND_AFTER if len(end.sends) > 1 or end.answer_delivered() else RESEND_AFTER_UNPROVEN
+
+
 def _likely_read(connection: EndConnection) -> tuple[bool, bool, bool, int]:
     """How likely a connection's client passes on the ends of sessions that others asked for."""
     return (
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -40,11 +40,12 @@
 class Viewing:
     """What the viewer of a playback is shown here: nothing but its answer, and its end."""
 
-    __slots__ = ("sent", "viewer")
+    __slots__ = ("answered_at", "sent", "viewer")
 
     def __init__(self, sent: Sent, viewer: ViewerConnection | None) -> None:
         self.sent = sent
         self.viewer = viewer  # the connection that asked, if any
+        self.answered_at = 0  # when its answer was written; 0: none was
 
     def begin(self, now: int, host: str, rung: int) -> None:
         """See `driver.Shown`."""
@@ -65,6 +66,7 @@
         self.closed_because = ""  # the reason of this side's close
         self.established = 0  # sessions that were answered on it
         self.acknowledged = 0  # ends that were acknowledged on it
+        self.delivered_until = 0  # see `delivery.EndConnection`
         self.reader = LineReader()
         self.transport: asyncio.Transport | None = None
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
@@ -454,6 +456,8 @@
             flowing = [one for one in playback.tries if one.state == "flowing"]
             viewer.write(lines.answer(name, flowing[-1].handle.description))
             viewer.established += 1
+            if isinstance(playback.timeline, Viewing):
+                playback.timeline.answered_at = self.now()
         else:
             viewer.write(lines.release(name, CAUSES[final.kind]))
         self.counts[final.kind] += 1
@@ -473,8 +477,8 @@
 
     def _send_end(self, playback: Playback, message: bytes, wants_acknowledgement: bool = True) -> None:
         view = playback.timeline
-        connection = view.viewer if isinstance(view, Viewing) else None
-        self.ends.send(playback.public, message, connection, wants_acknowledgement)
+        connection, answered_at = (view.viewer, view.answered_at) if isinstance(view, Viewing) else (None, 0)
+        self.ends.send(playback.public, message, connection, answered_at, wants_acknowledgement)
 
     def _forget(self, playback: Playback) -> None:
         if self.known.get(playback.public) is playback:
--- a/tests/test_node_delivery.py
+++ b/tests/test_node_delivery.py
@@ -4,10 +4,19 @@
 
 from collections.abc import Callable
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from burlmast.node.delivery import GIVE_UP_AFTER, PROMPT, RESEND_AFTER, UNACKNOWLEDGED_KEPT, EndDelivery
+from burlmast.node.delivery import (
+    ANSWER_DELIVERED,
+    GIVE_UP_AFTER,
+    PROMPT,
+    RESEND_AFTER,
+    RESEND_AFTER_UNPROVEN,
+    UNACKNOWLEDGED_KEPT,
+    EndDelivery,
+)
 from burlmast.node.eventlog import EventLog
 
 MS = 1_000_000
@@ -18,7 +27,7 @@
 
     def __init__(self, name: str, established: int = 0, acknowledged: int = 0, asked: int = 0) -> None:
         self.name, self.established, self.acknowledged, self.asked = name, established, acknowledged, asked
-        self.sound, self.usable, self.last_received = True, True, 0
+        self.sound, self.usable, self.last_received, self.delivered_until = True, True, 0, 0
         self.written: list[bytes] = []
 
     def write(self, data: bytes) -> None:
@@ -114,6 +123,35 @@
     assert not world.delivery.pending
 
 
+def test_an_end_does_not_overtake_an_answer_that_may_be_held_back() -> None:
+    own, other = Connection("own"), Connection("other", acknowledged=1)
+    world = World(own, other)
+    world.pass_time(MS)
+    world.delivery.send("a", b"end", own, answered_at=world.time)
+    world.pass_time(RESEND_AFTER_UNPROVEN - MS)
+    assert other.written == []
+    world.pass_time(PROMPT - RESEND_AFTER_UNPROVEN)
+    assert other.written == [b"end"], "within the second all the same"
+
+
+@pytest.mark.parametrize("proof", ["a later acknowledgement", "its age"])
+def test_an_end_whose_answer_was_delivered_is_sent_elsewhere_soon(proof: str) -> None:
+    own, other = Connection("own"), Connection("other", acknowledged=1)
+    world = World(own, other)
+    world.pass_time(MS)
+    answered_at = world.time
+    if proof == "its age":
+        world.pass_time(ANSWER_DELIVERED)
+    else:
+        world.pass_time(MS)
+        world.delivery.send("b", b"before", own)
+        world.pass_time(MS)
+        world.delivery.acknowledge("b", own)
+    world.delivery.send("a", b"end", own, answered_at=answered_at)
+    world.pass_time(2 * RESEND_AFTER)
+    assert other.written == [b"end"]
+
+
 def test_a_message_that_wants_no_acknowledgement_is_sent_again_on_a_loss_alone() -> None:
     own, other = Connection("own"), Connection("other")
     world = World(own, other)
