A first request whose bytes come slowly has 2.5 s, not 1.5

A viewer that wrote its first request slowly had its connection closed after 1.5 s with no answer. Cause: node/viewers.py closed whoever had sent nothing sound for 1.5 s, though the bytes of a line were coming. Measured: the test (2.2 s; and one that writes without end is closed within 3 s) fails without it; unplayed and loopback 78 passed.

--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -24,6 +24,9 @@
 # Who sends nothing sound is owed a close within 3 s of connecting, by the platform's word.
 UNSOUND_FOR = 1_500 * MS
 SWEEP = 250 * MS
+# The same for a first line whose bytes go on coming, with one sweep to spare.
+SLOW_FIRST_LINE = 2_500 * MS
+WRITING = 500 * MS  # since the last byte of a line that has begun; after that nobody writes it
 WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 HEX = frozenset("0123456789abcdef")
@@ -146,6 +149,11 @@
             return 0 if now - self.began >= SWEEP else 2
         return 1 if self.asked <= 1 else 3
 
+    def unsound(self, now: int) -> bool:
+        """Whether nothing of right form has come on it for too long."""
+        writing = self.partial_since > 0 and now - self.partial_since < WRITING
+        return not self.sound and now - self.began >= (SLOW_FIRST_LINE if writing else UNSOUND_FOR)
+
     @property
     def usable(self) -> bool:
         """Whether something can be written on it."""
@@ -276,7 +284,7 @@
                 viewer.closed_because = viewer.closed_because or "not_read"
                 assert viewer.transport is not None
                 viewer.transport.abort()
-            elif (not viewer.sound and now - viewer.began >= UNSOUND_FOR) or (half and not viewer.open):
+            elif viewer.unsound(now) or (half and not viewer.open):
                 if not viewer.waiting()[1]:
                     self.counts["closed unsound"] += 1
                     viewer.close("unsound")
--- a/tests/test_node_unplayed.py
+++ b/tests/test_node_unplayed.py
@@ -319,6 +319,33 @@
     run(work, tmp_path, settings=PATIENT)
 
 
+def test_a_first_request_whose_bytes_come_slowly_is_answered_and_one_without_end_closed(
+    tmp_path: Path,
+) -> None:
+    async def work(one: Platform) -> None:
+        line, endless = await one.line(), await one.line()
+        raw, began = asked(ID), time.monotonic()
+        pause = 2.2 / len(raw)
+        for place in range(len(raw)):
+            line.raw(raw[place : place + 1])
+            endless.raw(b" ")
+            await asyncio.sleep(pause)
+        assert time.monotonic() - began > UNSOUND_FOR / 1e9
+        assert (await line.hear()).get("type") == "answer"
+
+        async def go_on() -> None:
+            while time.monotonic() - began < 4.0:
+                endless.raw(b" ")
+                await asyncio.sleep(0.05)
+
+        writing = asyncio.create_task(go_on())
+        assert await endless.hear() == {}
+        assert time.monotonic() - began <= 3.0, "a bad client is closed within 3 s of connecting"
+        writing.cancel()
+
+    run(work, tmp_path, settings=PATIENT)
+
+
 def test_a_connection_whose_every_reading_ends_within_a_line_is_not_taken_for_stuck(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line = await one.line()
