--- /dev/null
+++ b/burlmast/node/host_connection.py
@@ -0,0 +1,294 @@
+"""One connection to a host: its states, what is out on it, and how it is closed without losing what comes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Protocol
+
+from burlmast.edge.driver import Try
+from burlmast.node.descriptors import SHORTAGE
+from burlmast.node.eventlog import EventLog
+from burlmast.node.frames import Frame, FrameReader
+from burlmast.node.host_interface import HostCallbacks, HostPoolLimits, SetupPayload
+from burlmast.node.host_records import CarriedAttempts, SentLately, SentProbe
+
+MS = 1_000_000
+# A release behind an unfinished message has to reach its viewer within 1 s, by the protocol.
+PARTIAL_TOLERATED = 250 * MS
+CLOSING_MOST = 4  # connections that are read on though closed: each holds a descriptor
+BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
+
+
+class Pool(Protocol):
+    """The pool of hosts as its hosts and their connections see it. Times in nanoseconds."""
+
+    limits: HostPoolLimits
+    callbacks: HostCallbacks
+    events: EventLog
+    opened: int  # connections to all hosts that hold a descriptor
+    closing: int  # of these, closed for writing and still read
+
+    @property
+    def now(self) -> Callable[[], int]:
+        """The one clock."""
+
+    def later(self, after: int, work: Callable[[], object]) -> asyncio.TimerHandle:
+        """Call after so many nanoseconds."""
+
+    def after_reading(self, work: Callable[[], object]) -> None:
+        """Call once all has been read that has come in by now."""
+
+    def keep(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Run this beside the rest."""
+
+    def room(self) -> bool:
+        """Whether there is a descriptor for one more connection."""
+
+    def next_connection_name(self) -> str:
+        """The name of a connection in the log."""
+
+
+class Host(Protocol):
+    """A host as its connections and attempts see it."""
+
+    name: str
+    address: tuple[str, int]
+    connections: dict[HostConnection, None]
+    connecting: dict[HostConnection, None]
+
+    @property
+    def pool(self) -> Pool:
+        """The pool that the host is one of."""
+
+    def connected(self, connection: HostConnection) -> None:
+        """It has come up."""
+
+    def received(self, connection: HostConnection, message: Frame) -> None:
+        """One message."""
+
+    def lost(self, connection: HostConnection, why: str) -> None:
+        """It is closed, by whichever side."""
+
+    def short_of_descriptors(self) -> None:
+        """It could not be tried."""
+
+    def unreachable(self, refused: bool) -> None:
+        """It did not come up."""
+
+    def reopen(self, reason: str) -> None:
+        """A release may have been lost on it."""
+
+    def has_sessions(self) -> bool:
+        """Whether a session is established at the host."""
+
+    def expects_end_on(self, connection: HostConnection) -> bool:
+        """Whether a session's release may come on it alone."""
+
+    def give_up(self, attempt: HostAttempt) -> None:
+        """The driver has ended the attempt."""
+
+    def send_on_session(self, message: bytes, repeat_within: int) -> None:
+        """Send what concerns an established session, on any connection."""
+
+
+class HostAttempt:
+    """A set-up as it is at the host."""
+
+    __slots__ = (
+        "connection",
+        "description",
+        "established",
+        "host",
+        "one",
+        "origin",
+        "sent",
+        "session",
+        "written",
+    )
+
+    def __init__(self, one: Try, host: Host, sent: SetupPayload) -> None:
+        self.one, self.host, self.sent, self.session = one, host, sent, sent.session
+        self.connection: HostConnection | None = None  # the connection that carries it while it is out
+        self.origin: HostConnection | None = None  # the connection of its set-up
+        self.written = self.established = False  # its set-up was written; it has been answered
+        self.description = ""
+
+
+class HostConnection(asyncio.BufferedProtocol):
+    """One connection to a host."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.name = host.pool.next_connection_name()
+        self.reader = FrameReader()
+        self.transport: asyncio.Transport | None = None
+        self.out: dict[int, HostAttempt] = {}
+        self.probes: dict[int, SentProbe] = {}
+        self.sessions: set[int] = set()  # established by a set-up on it: their host releases them here
+        # connecting, open, leaving (nothing new), closing (closed for writing, still read), closed
+        self.state = "connecting"
+        self.stuck_since = 0  # since when half a message is waited for
+        self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
+        self.dialled_at = host.pool.now()
+        self.used = host.pool.now()  # when something last passed on it
+        self.carried = CarriedAttempts()
+        self.sent_lately: deque[SentLately] = deque()  # what concerned established sessions
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    async def dial(self) -> None:
+        """Come up, or say why not."""
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: self, *self.host.address)
+        except OSError as why:
+            self.failed(why)
+
+    def overdue(self) -> None:
+        """Its time has run out, by a loop that may have been busy: what has come up by now counts."""
+        self.host.pool.after_reading(lambda: self.host.pool.after_reading(lambda: self.failed(None)))
+
+    def failed(self, why: OSError | None) -> None:
+        """It did not come up; without a reason, in time."""
+        # Danger: time may run out between the coming up and the return of what dialled; one of them counts.
+        if self.state != "connecting":
+            return
+        self.drop()
+        if why is not None and why.errno in SHORTAGE:
+            self.host.short_of_descriptors()
+        else:
+            self.host.unreachable(isinstance(why, ConnectionRefusedError))
+
+    def drop(self) -> None:
+        """It is waited for no longer."""
+        if self.state == "connecting":
+            self.state = "closed"
+            self.host.connecting.pop(self, None)
+            self.host.pool.opened -= 1
+            if self.timer is not None:
+                self.timer.cancel()
+            if self.task is not None and self.task is not asyncio.current_task():
+                self.task.cancel()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.state == "connecting":
+            self.state = "open"
+            self.used = self.host.pool.now()
+            if self.timer is not None:
+                self.timer.cancel()
+            self.host.connected(self)
+        else:
+            transport.abort()
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.state == "closed":
+            return
+        found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
+        self.used = self.host.pool.now()
+        self.stuck_since = self.used if self.reader.partial else 0
+        self._watch_partial(new=bool(found))
+        for one in found:
+            self.host.received(self, one)
+        if wrong is not None:
+            self.host.pool.callbacks.remark(f"host {self.host.name}: {wrong}")
+            self.close("not understood")
+
+    def _watch_partial(self, new: bool) -> None:
+        """See after a message that stays unfinished: what the host writes behind it is read as its bytes."""
+        if not self.reader.partial:
+            self.partial_since = 0
+        elif new or not self.partial_since:
+            began = self.partial_since = self.used
+            wait = min(PARTIAL_TOLERATED, self.host.pool.limits.connect)
+            self.host.pool.later(wait, lambda: self._partial_late(began))
+
+    def _partial_late(self, began: int) -> None:
+        if self.partial_since == began and self.state != "closed":
+            self.host.reopen("partial_message")
+
+    def eof_received(self) -> bool:
+        # Danger: the transport says so a turn of the loop later, and what is written until then is lost.
+        self.close("retired" if self.state == "closing" else "connection lost")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close("retired" if self.state == "closing" and exc is None else "connection lost")
+
+    @property
+    def usable(self) -> bool:
+        """Whether something can be written on it."""
+        closed = self.state in ("closing", "closed")
+        return self.transport is not None and not closed and not self.transport.is_closing()
+
+    def write(self, data: bytes) -> None:
+        if self.usable and self.transport is not None:
+            self.used = self.host.pool.now()
+            self.transport.write(data)
+
+    def send_on_session(self, message: bytes, repeat_within: int) -> None:
+        """Write what concerns an established session; if the connection is lost by then, elsewhere too."""
+        now = self.host.pool.now()
+        while self.sent_lately and self.sent_lately[0].repeat_until <= now:
+            self.sent_lately.popleft()
+        self.sent_lately.append(SentLately(message, now + repeat_within))
+        self.write(message)
+
+    def close(self, why: str) -> None:
+        """What is out on it has ended so; what stands belongs to no connection."""
+        if self.state == "closed":
+            return
+        if why == "retired" and self._reads_on():
+            self._close_for_writing()
+            return
+        if self.state == "closing":
+            self.host.pool.closing -= 1
+        self.state = "closed"
+        self.host.connections.pop(self, None)
+        if self.timer is not None:
+            self.timer.cancel()
+        self._log_close(why)
+        if self.transport is not None:
+            self.transport.abort() if why == "not understood" else self.transport.close()
+        self.host.lost(self, why)
+
+    def _reads_on(self) -> bool:
+        """Whether what the host writes as this side closes has to be read."""
+        return self.usable and self.host.has_sessions() and self.host.pool.closing < CLOSING_MOST
+
+    def _close_for_writing(self) -> None:
+        """Read on until the host has closed its side too."""
+        self.state = "closing"
+        self.host.connections.pop(self, None)
+        self.host.pool.closing += 1
+        self.timer = self.host.pool.later(self.host.pool.limits.connect, self._not_closed_by_host)
+        if self.transport is not None:
+            self.transport.write_eof()
+
+    def _not_closed_by_host(self) -> None:
+        self.close("retired")
+        self.host.reopen("not_closed_by_host")
+
+    def _log_close(self, why: str) -> None:
+        if self.out or self.host.has_sessions():
+            self.host.pool.events.record(
+                "host_connection_closed",
+                host=self.host.name,
+                connection=self.name,
+                reason=why.replace(" ", "_"),
+                attempts_out=len(self.out),
+                partial_message=self.reader.partial,
+                connections_left=len(self.host.connections),
+            )
+
+    def retire(self) -> None:
+        """It carries nothing new, and is closed once nothing is out on it and no release is expected."""
+        if self.state == "open":
+            self.state = "leaving"
+        if self.state == "leaving" and not (self.out or self.probes or self.host.expects_end_on(self)):
+            self.close("retired")
--- /dev/null
+++ b/burlmast/node/media_host.py
@@ -0,0 +1,500 @@
+"""One host: which connection carries what, what is out or established there, whether it can be reached."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from burlmast import api
+from burlmast.api import Ending
+from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
+from burlmast.node import frames
+from burlmast.node.eventlog import session_name
+from burlmast.node.frames import Frame
+from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
+from burlmast.node.host_records import SentProbe
+
+MS = 1_000_000
+# A session that is over has to be released within 8 s of its end where nobody says so, by the protocol. A
+# host that was silent for half of that is dialled; two failures in a row, and it is gone.
+SILENT = 4_000 * MS
+GONE_AFTER = 2
+# A session is over within 8 s of its end, by the protocol; its id is never used again, so a second release of
+# it is harmless.
+RELEASE_REPEATED = 8_000 * MS
+REOPEN_PATIENCE = 4  # times the settings' time for a connection
+
+
+class MediaHost:
+    """One host: its connections, and what is out or stands there."""
+
+    def __init__(self, pool: Pool, number: int, name: str, address: tuple[str, int]) -> None:
+        self.pool, self.number, self.name, self.address = pool, number, name, address
+        self.in_service, self.draining = True, False
+        self.connections: dict[HostConnection, None] = {}
+        self.attempts: dict[int, HostAttempt] = {}
+        self.waiting: list[HostAttempt] = []  # for a connection
+        self.probes: list[tuple[int, int]] = []  # probes that wait for one, and since when
+        self.backlog: list[tuple[bytes, int]] = []  # messages on established sessions that wait for one
+        self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
+        self.last_received = pool.now()
+        self.failures = 0
+        self.reopen_since = 0  # since when a connection that is newer than this is needed; 0: none is
+
+    # Connections.
+
+    def open_connections(self) -> list[HostConnection]:
+        return [
+            connection for connection in self.connections if connection.state == "open" and connection.usable
+        ]
+
+    def fresh(self, connection: HostConnection, now: int) -> bool:
+        """Whether its host does not close it for being idle while something is on its way there."""
+        # Danger: a set-up that crosses such a close may have run, and an unsafe one is lost.
+        idle = self.pool.limits.idle
+        return idle <= 0 or now - connection.used < max(idle - self.pool.limits.connect, idle // 2)
+
+    def choose(self, playback: int) -> HostConnection | None:
+        """A connection with nothing out on it, so that one spoilt answer costs one set-up.
+
+        Where there is no room for another, the one that carries least. Never one that has carried an earlier
+        attempt of the playback, whose answer may come again."""
+        now = self.pool.now()
+        connections = [
+            connection
+            for connection in self.open_connections()
+            if playback not in connection.carried and self.fresh(connection, now)
+        ]
+        free = [connection for connection in connections if not connection.out]
+        if free:
+            return max(free, key=lambda connection: connection.used)
+        if self.pool.room() or not connections:
+            return None
+        least = min(connections, key=lambda connection: len(connection.out))
+        return least if len(least.out) < self.pool.limits.streams else None
+
+    def dial(self, wait: int = 0) -> None:
+        """Open a connection; `wait` is how long it may take to come up, 0 for the time of the settings."""
+        if self.in_service:
+            connection = HostConnection(self)
+            self.connecting[connection] = None
+            self.pool.opened += 1
+            connection.timer = self.pool.later(wait or self.pool.limits.connect, connection.overdue)
+            connection.task = self.pool.keep(connection.dial())
+
+    def reopen(self, reason: str) -> None:
+        """Open a connection after a release may have been lost: its host repeats it there."""
+        if not self.has_sessions():
+            return
+        if not self.reopen_since:
+            self.pool.events.record("host_reopen", host=self.name, reason=reason)
+        self.reopen_since = self.pool.now()
+        self._dial_for_reopen()
+
+    def _dial_for_reopen(self) -> None:
+        if self.connecting or self.pool.opened >= self.pool.limits.most:
+            return
+        # Where others carry the requests, one that comes up late is worth waiting for.
+        self.dial(REOPEN_PATIENCE * self.pool.limits.connect if self.open_connections() else 0)
+
+    def dial_no_more(self) -> None:
+        """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
+        needed = len(self.waiting) + bool(self.probes or self.backlog or self.has_sessions())
+        for connection in list(self.connecting)[needed:]:
+            connection.drop()
+
+    def connected(self, connection: HostConnection) -> None:
+        self.connecting.pop(connection, None)
+        self.connections[connection] = None
+        self.failures = 0
+        self.last_received = self.pool.now()
+        if connection.dialled_at >= self.reopen_since:
+            self.reopen_since = 0
+        for message, repeat_within in self.backlog:
+            connection.send_on_session(message, repeat_within)
+        self.backlog.clear()
+        probes, self.probes = self.probes, []
+        for session, began in probes:
+            self._probe_on(connection, session, began)
+        for leaving in [other for other in self.connections if other.state == "leaving"]:
+            leaving.retire()
+        # One set-up to a connection; those that came in the meantime have others of their own on the way.
+        while self.waiting and (not connection.out or not self.connecting) and connection.state == "open":
+            attempt = self.waiting.pop(0)
+            if len(connection.out) < self.pool.limits.streams:
+                self.send(connection, attempt)
+            else:
+                self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+
+    def short_of_descriptors(self) -> None:
+        """No connection could be tried: that tells nothing of the host. It is tried again soon."""
+        self.pool.callbacks.remark(f"host {self.name}: no descriptor for a connection")
+        self.pool.callbacks.shortage()
+        probes, self.probes = self.probes, []
+        for _, began in probes:
+            self.pool.callbacks.probed(self.number, Ending.MOOT, max(0, self.pool.now() - began), api.Load())
+        if not self.connecting:
+            self.pool.later(self.pool.limits.connect // 8, self.dial_again)
+
+    def dial_again(self) -> None:
+        """For what waits yet, or stands and has no connection."""
+        if self.connecting or not (
+            self.waiting or self.backlog or (self.has_sessions() and not self.connections)
+        ):
+            return
+        connection = self.choose(self.waiting[0].one.playback.number) if self.waiting else None
+        if connection is not None:
+            self.send(connection, self.waiting.pop(0))
+        elif self.pool.room():
+            self.dial()
+
+    def drain(self) -> None:
+        """Nothing new may go to it: what was not sent goes elsewhere, and probes of one that is gone end."""
+        for attempt in [one for one in self.attempts.values() if not one.written and not one.established]:
+            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+        if self.in_service:
+            return
+        probes, self.probes = self.probes, []
+        for _, began in probes:
+            took = max(0, self.pool.now() - began)
+            self.pool.callbacks.probed(self.number, Ending.NO_CONNECTION, took, api.Load())
+        for attempt in [one for one in self.attempts.values() if not one.established]:
+            if attempt.connection is not None:
+                attempt.connection.write(frames.release(attempt.session))
+            self.finish(attempt, Ending.BROKEN, api.Load())
+        self.keep_reachable()
+
+    def remove(self, why: str) -> None:
+        """The list has dropped it, or has it elsewhere: nothing is waited for at this address any more."""
+        self.in_service = False
+        # Danger: the address may be another host's by now, and what comes up there would carry what waits.
+        for connection in list(self.connecting):
+            connection.drop()
+        # Danger: a machine that goes for good says nothing, and its connections stay open.
+        self.cut(why)
+
+    def unreachable(self, refused: bool) -> None:
+        """No connection came up; where it was refused the process is dead, and what stood there with it."""
+        self.failures += 1
+        if self.connecting:  # the others say what becomes of what waits
+            waiting = [self.waiting.pop(0)] if self.waiting else []
+        else:
+            waiting, self.waiting = self.waiting, []
+        for attempt in waiting:
+            self.finish(attempt, BINARY_ENDINGS["no connection", None], api.Load())
+        if not self.connecting and not self.open_connections():
+            probes, self.probes = self.probes, []
+            for _, began in probes:
+                self.pool.callbacks.probed(
+                    self.number, Ending.NO_CONNECTION, max(0, self.pool.now() - began), api.Load()
+                )
+        silent = not self.open_connections() or self.pool.now() - self.last_received >= SILENT
+        # Danger: a host that drains refuses connections and plays on; the list says when it is gone.
+        if not self.draining and (refused or (self.failures >= GONE_AFTER and silent)):
+            self.cut("refused" if refused else "silent")
+
+    def cut(self, why: str) -> None:
+        """What stood here is over."""
+        standing = [attempt for attempt in self.attempts.values() if attempt.one.state == "flowing"]
+        if standing:
+            self.pool.callbacks.remark(f"host {self.name}: {why}, {len(standing)} playbacks cut")
+        self.backlog.clear()
+        for attempt in standing:
+            self.finish(attempt, BINARY_ENDS[41], api.Load())
+
+    def lost(self, connection: HostConnection, why: str) -> None:
+        self.pool.opened -= 1
+        out, connection.out = connection.out, {}
+        ending = BINARY_ENDINGS.get((why, None), Ending.BROKEN)
+        for attempt in out.values():
+            attempt.connection = None
+            self.finish(attempt, ending if attempt.written else BINARY_ENDINGS["not sent", None], api.Load())
+        probes, connection.probes = connection.probes, {}
+        for probe in probes.values():
+            probe.timer.cancel()
+            took = max(0, self.pool.now() - probe.began)
+            self.pool.callbacks.probed(self.number, Ending.BROKEN, took, api.Load())
+        lately, connection.sent_lately = connection.sent_lately, deque()
+        for sent in lately if why == "connection lost" else ():
+            if self.pool.now() < sent.repeat_until:
+                self.send_on_session(sent.message, sent.repeat_until - self.pool.now())
+        if why in ("connection lost", "not understood"):
+            # A process that dies may also reset one connection at once and another seconds later.
+            self.reopen(why.replace(" ", "_"))
+        self.keep_reachable()
+
+    def expects_end_on(self, connection: HostConnection) -> bool:
+        """Whether the host may write a session's release on this connection and on no other that is open."""
+        if connection.sessions:
+            return True
+        others = any(other.usable for other in self.connections if other is not connection)
+        return not others and self.has_sessions()
+
+    def has_sessions(self) -> bool:
+        """Whether something plays here."""
+        return any(attempt.one.state == "flowing" for attempt in self.attempts.values())
+
+    def keep_reachable(self) -> None:
+        """What stands here is told of on any connection: there has to be one."""
+        if self.has_sessions():
+            if not self.connections and not self.connecting:
+                self.dial()
+                if not self.in_service:
+                    self.cut("not listed")
+        elif not self.in_service and not self.attempts:
+            for connection in list(self.connections):
+                connection.close("retired")
+
+    # Set-ups.
+
+    def take(self, attempt: HostAttempt) -> None:
+        self.attempts[attempt.session] = attempt
+        connection = self.choose(attempt.one.playback.number)
+        if connection is not None:
+            self.send(connection, attempt)
+        elif self.pool.room() or self.connecting:
+            self.waiting.append(attempt)
+            if self.pool.room():
+                self.dial()
+        else:
+            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+
+    def send(self, connection: HostConnection, attempt: HostAttempt) -> None:
+        """Send it there, once what its viewer has written by now has been read."""
+        attempt.connection = attempt.origin = connection
+        connection.out[attempt.session] = attempt
+        connection.carried.add(attempt.one.playback.number)
+        if self.pool.callbacks.unread(attempt.one):
+            self.pool.after_reading(lambda: self.write(connection, attempt))
+        else:
+            self.write(connection, attempt)
+
+    def write(self, connection: HostConnection, attempt: HostAttempt) -> None:
+        one, now = attempt.one, self.pool.now()
+        if attempt.connection is not connection or not self.pool.callbacks.wanted(one):
+            return  # it has ended
+        if now >= one.due:
+            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+            return
+        _, plan, title, description = attempt.sent
+        attempt.written = True
+        self.pool.events.trace(
+            "attempt_sent",
+            session_name(attempt.session),
+            attempt=one.place,
+            host=self.name,
+            connection=connection.name,
+        )
+        connection.write(
+            frames.frame(
+                frames.SETUP,
+                attempt.session,
+                {
+                    frames.CLASS: plan,
+                    frames.WAIT: str((one.due - now) // MS).encode(),
+                    frames.TITLE: title,
+                    frames.RUNG: str(one.rung).encode(),
+                    frames.DESCRIPTION: description,
+                },
+            )
+        )
+
+    def forget(self, attempt: HostAttempt) -> None:
+        if self.attempts.get(attempt.session) is attempt:
+            del self.attempts[attempt.session]
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            self.dial_no_more()
+        attempt.one.handle = None  # or the two would hold each other until the collector comes
+        origin, attempt.origin = attempt.origin, None
+        if origin is not None:
+            origin.sessions.discard(attempt.session)
+            if origin.state == "leaving":
+                origin.retire()
+        connection, attempt.connection = attempt.connection, None
+        if connection is not None:
+            if connection.out.get(attempt.session) is attempt:
+                del connection.out[attempt.session]
+            if connection.state == "leaving":
+                connection.retire()
+
+    def finish(self, attempt: HostAttempt, ending: Ending, load: api.Load) -> None:
+        if self.attempts.get(attempt.session) is attempt:
+            self.pool.events.trace(
+                "session_ended" if attempt.established else "attempt_ended",
+                session_name(attempt.session),
+                attempt=attempt.one.place,
+                host=self.name,
+                cause=ending.value.replace(" ", "_"),
+            )
+            self.forget(attempt)
+            self.pool.callbacks.ended(attempt.one, ending, load)
+
+    def give_up(self, attempt: HostAttempt) -> None:
+        """The driver has ended the try."""
+        connection = attempt.connection
+        late = self.pool.now() >= attempt.one.due
+        self.forget(attempt)
+        if connection is not None and attempt.written:
+            connection.write(frames.release(attempt.session))
+            if late:
+                # Danger: what answers nothing may answer nothing else on that connection either.
+                connection.retire()
+        elif attempt.established:
+            self.send_on_session(frames.release(attempt.session), RELEASE_REPEATED)
+
+    def spares(self, connection: HostConnection) -> bool:
+        """Whether it carries nothing, and is not the last that could tell of what stands here."""
+        return (
+            not connection.out
+            and not connection.probes
+            and not (len(self.connections) == 1 and self.has_sessions())
+        )
+
+    def send_on_session(self, message: bytes, repeat_within: int) -> None:
+        """Send what concerns an established session, on any connection."""
+        connections = self.open_connections() or [
+            connection
+            for connection in self.connections
+            if connection.state == "leaving" and connection.usable
+        ]
+        if connections:
+            connections[0].send_on_session(message, repeat_within)
+        elif self.in_service:
+            self.backlog.append((message, repeat_within))
+            if not self.connecting:
+                self.dial()
+
+    # Messages.
+
+    def received(self, connection: HostConnection, message: Frame) -> None:
+        self.last_received = self.pool.now()
+        self.failures = 0
+        found = HANDLERS.get(message.kind)
+        if found is not None:
+            found(self, connection, message)
+
+    def _answered(self, connection: HostConnection, message: Frame) -> None:
+        attempt = connection.out.pop(message.session, None)
+        if attempt is None:
+            return  # a second copy, or one ahead of its set-up
+        attempt.connection = None
+        if message.description is None:
+            self.forget(attempt)
+            self.pool.callbacks.remark(f"host {self.name}: an answer without a description")
+            connection.write(frames.release(attempt.session))
+            self.pool.callbacks.ended(attempt.one, BINARY_ENDINGS["not understood", None], api.Load())
+        else:
+            attempt.description, attempt.established = message.description, True
+            connection.sessions.add(attempt.session)
+            self.pool.events.trace(
+                "session_established",
+                session_name(attempt.session),
+                attempt=attempt.one.place,
+                host=self.name,
+                connection=connection.name,
+            )
+            self.pool.callbacks.flowing(attempt.one)
+        if connection.state == "leaving":
+            connection.retire()
+
+    def _released(self, connection: HostConnection, message: Frame) -> None:
+        attempt = self.attempts.get(message.session)
+        if attempt is None:
+            return
+        cause, load = message.cause, message.load(self.pool.limits.report)
+        if attempt.one.state == "flowing":
+            # What answers an earlier attempt may come twice, late; a session that was established goes on.
+            refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
+            earlier = (
+                attempt.origin in self.connections
+                and connection is not attempt.origin
+                and connection.carried.may_repeat(attempt.one.playback.number, cause)
+            )
+            if not refusal and not earlier:
+                self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
+            else:
+                self.pool.events.record(
+                    "release_ignored",
+                    session=session_name(message.session),
+                    host=self.name,
+                    connection=connection.name,
+                    cause=cause,
+                    reason="refusal" if refusal else "earlier_attempt",
+                )
+                if earlier and not refusal:
+                    self.reopen("release_ignored")
+        elif attempt.connection is connection:
+            connection.carried.refused(attempt.one.playback.number, cause)
+            none = BINARY_ENDINGS["release", None]
+            self.finish(attempt, BINARY_ENDINGS.get(("release", cause), none), load)
+
+    def _noted(self, connection: HostConnection, message: Frame) -> None:
+        attempt, note = self.attempts.get(message.session), message.note
+        if attempt is not None and note is not None:
+            self.pool.callbacks.noted(attempt.one, *note)
+
+    def _ponged(self, connection: HostConnection, message: Frame) -> None:
+        probe = connection.probes.pop(message.session, None)
+        if probe is not None:
+            probe.timer.cancel()
+            ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
+            load = message.load(self.pool.limits.report)
+            self.pool.callbacks.probed(self.number, ending, max(0, self.pool.now() - probe.began), load)
+        if connection.state == "leaving":
+            connection.retire()
+
+    # Tests.
+
+    def probe(self, session: int) -> None:
+        connections = self.open_connections()
+        if connections:
+            self._probe_on(
+                min(connections, key=lambda connection: len(connection.out)), session, self.pool.now()
+            )
+        elif self.pool.room() or self.connecting:
+            self.probes.append((session, self.pool.now()))
+            if not self.connecting:
+                self.dial()
+        else:
+            self.pool.later(0, lambda: self.pool.callbacks.probed(self.number, Ending.MOOT, 0, api.Load()))
+
+    def _probe_on(self, connection: HostConnection, session: int, began: int) -> None:
+        left = self.pool.limits.connect - (self.pool.now() - began)
+        timer = self.pool.later(max(0, left), lambda: self._probe_late(connection, session))
+        connection.probes[session] = SentProbe(began, timer)
+        connection.write(frames.frame(frames.PING, session, {frames.CAUSE: b"\x01"}))
+
+    def _probe_late(self, connection: HostConnection, session: int) -> None:
+        probe = connection.probes.pop(session, None)
+        if probe is not None:
+            connection.retire()
+            took = max(0, self.pool.now() - probe.began)
+            self.pool.callbacks.probed(self.number, Ending.TIMEOUT, took, api.Load())
+
+    def watch(self, now: int) -> None:
+        """Called now and then: what is stuck or silent is seen here."""
+        for connection in list(self.connections):
+            if connection.stuck_since and now - connection.stuck_since >= self.pool.limits.connect:
+                connection.close("not understood")
+        if not self.has_sessions():
+            self.last_received = now
+            self.reopen_since = 0
+        elif not self.connections and not self.connecting:
+            # Danger: the list may have dropped it while a connection was still hoped for.
+            self.keep_reachable()
+        elif now - self.last_received >= SILENT and not self.connecting:
+            self.dial()
+        elif self.reopen_since:
+            self._dial_for_reopen()
+        for connection in self.open_connections():
+            if not self.fresh(connection, now) and self.spares(connection):
+                connection.close("retired")
+
+
+HANDLERS: dict[int, Callable[[MediaHost, HostConnection, Frame], None]] = {
+    frames.ANSWER: MediaHost._answered,
+    frames.RELEASE: MediaHost._released,
+    frames.NOTE: MediaHost._noted,
+    frames.PONG: MediaHost._ponged,
+}
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -19,11 +19,12 @@
 from burlmast.node.acceptor import Acceptor
 from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
 from burlmast.node.eventlog import EventLog
-from burlmast.node.hosts import HostsSide, Wired
+from burlmast.node.host_interface import HostPoolLimits
+from burlmast.node.host_pool import HostPool
 from burlmast.node.names import Entry
 from burlmast.node.resolver import Resolver
 from burlmast.node.roster import PATIENCE, PERIOD, TOLD_BY, Roster
-from burlmast.node.viewers import ViewerListener, Viewing
+from burlmast.node.viewers import SessionView, ViewerListener
 
 BAD_CONFIGURATION = 2
 LINES = 50  # of one kind in the log; it counts as memory
@@ -59,7 +60,7 @@
         self.done: asyncio.Future[int] = self.loop.create_future()
         self.roster = Roster(configuration.zones, configuration.kinds, self.now())
         self.roster.start(configuration.serial, configuration.events)
-        wired = Wired(
+        limits = HostPoolLimits(
             configuration.connect,
             configuration.idle,
             configuration.parts.hosts,
@@ -67,12 +68,12 @@
             configuration.report,
         )
         events = EventLog(self.now, self.log.write)
-        self.hosts = HostsSide(wired, self, self.now, events)
+        self.hosts = HostPool(limits, self, self.now, events)
         self.listener = ViewerListener(
             configuration, self.now, self.log.say, configuration.parts.viewers, events
         )
         self.listener.arm = self.arm
-        self.listener.stands = self.hosts.stands
+        self.listener.handed_over = self.hosts.hand_over
         self.listener.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
         self.resolver = Resolver(
             configuration.resolver,
@@ -183,20 +184,20 @@
     def _list(self, scope: Scope, rows: tuple[api.HostRow, ...], entries: list[Entry]) -> None:
         timed = self.timed(rows)
         where = {entry.number: f"{entry.address[0]}:{entry.address[1]}" for entry in entries}
-        self.hosts.listed(entries, lambda entry: entry.standing is Standing.GONE)
+        self.hosts.list_changed(entries, lambda entry: entry.standing is Standing.GONE)
         if scope is Scope.CHANGES:
             for row in timed:
                 if row.started:
                     self.hosts.restarted(row.host, row.started)
         self.driver.listed(self.now(), scope, timed, where)
-        self.hosts.turn_away()
+        self.hosts.drain()
         self.arm()
 
     # The driver's outside.
 
     def open_try(self, one: Try) -> None:
         viewing = one.playback.timeline
-        if isinstance(viewing, Viewing):
+        if isinstance(viewing, SessionView):
             self.hosts.open_try(one, viewing.sent)
 
     def close_try(self, one: Try) -> None:
@@ -243,15 +244,15 @@
     # The callbacks of the hosts.
 
     def wanted(self, one: Try) -> bool:
-        """See `hosts.HostCallbacks`."""
+        """See `host_interface.HostCallbacks`."""
         return self.listener.wanted(one.playback)
 
     def unread(self, one: Try) -> bool:
-        """See `hosts.HostCallbacks`."""
+        """See `host_interface.HostCallbacks`."""
         return self.listener.unread(one.playback)
 
     def shortage(self) -> None:
-        """See `hosts.HostCallbacks`."""
+        """See `host_interface.HostCallbacks`."""
         self.listener.make_room()
 
 
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -16,7 +16,7 @@
 from burlmast.node.delivery import EndDelivery
 from burlmast.node.descriptors import BATCH
 from burlmast.node.eventlog import EventLog
-from burlmast.node.hosts import Sent
+from burlmast.node.host_interface import SetupPayload
 from burlmast.node.lines import Line, LineReader
 from burlmast.shutdown import Shutdown
 
@@ -40,12 +40,12 @@
     """A set-up that nothing can be done with."""
 
 
-class Viewing:
+class SessionView:
     """What the viewer of a playback is shown here: nothing but its answer, and its end."""
 
     __slots__ = ("answered_at", "sent", "viewer")
 
-    def __init__(self, sent: Sent, viewer: ViewerConnection | None) -> None:
+    def __init__(self, sent: SetupPayload, viewer: ViewerConnection | None) -> None:
         self.sent = sent
         self.viewer = viewer  # the connection that asked, if any
         self.answered_at = 0  # when its answer was written; 0: none was
@@ -196,7 +196,7 @@
         self.shutdown = Shutdown(configuration.abandon_times)
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
-        self.stands: Callable[[Try, Sent], None] | None = None
+        self.handed_over: Callable[[Try, SetupPayload], None] | None = None
         self.host_number: Callable[[str], int] | None = None
         self.viewers: dict[ViewerConnection, None] = {}  # in the order in which they came
         self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
@@ -365,7 +365,7 @@
         viewer.asked += 1
         self._arrive(viewer, line.id, wanted, sent)
 
-    def _arrive(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: Sent) -> None:
+    def _arrive(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: SetupPayload) -> None:
         if self.driver is None:
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
@@ -376,24 +376,26 @@
             viewer.write(lines.release(name, lines.REFUSED))
             return
         wanted = wanted._replace(patience=allowed)
-        self._coming = Viewing(sent, viewer)
+        self._coming = SessionView(sent, viewer)
         self.events.trace("request_received", name, connection=viewer.name, left_ms=wanted.patience // MS)
         playback = self.driver.arrive(self.now(), wanted, viewer, name)
         if playback.state == "asked":
             self.known[name] = viewer.open[name] = playback
         self.arm()
 
-    def _hand_over(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: Sent, at: str) -> None:
-        if self.driver is None or self.host_number is None or self.stands is None:
+    def _hand_over(
+        self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: SetupPayload, at: str
+    ) -> None:
+        if self.driver is None or self.host_number is None or self.handed_over is None:
             return
-        self._coming = Viewing(sent, viewer)
+        self._coming = SessionView(sent, viewer)
         self.events.trace("session_handed_over", name, connection=viewer.name, host=at)
         one = self.driver.hand_over(self.now(), wanted, name, self.host_number(at))
         self.known[name] = one.playback
-        self.stands(one, sent)
+        self.handed_over(one, sent)
         self.arm()
 
-    def viewing(self, public: str, wanted: Wanted) -> Viewing:
+    def viewing(self, public: str, wanted: Wanted) -> SessionView:
         """What the driver keeps with the playback that comes now."""
         return self._coming
 
@@ -405,7 +407,7 @@
             return False
         return not at and len(line.id) == 16 and HEX.issuperset(line.id)
 
-    def check(self, line: Line) -> tuple[Wanted, Sent, str]:
+    def check(self, line: Line) -> tuple[Wanted, SetupPayload, str]:
         """A set-up's request, what its host gets, and where it plays already.
 
         Raises WrongForm, ValueError, OverflowError."""
@@ -441,7 +443,7 @@
             plan, configuration.terms.plans[plan].floor, int(top), int(home), int(copies), int(key, 16), key,
             viewer, round(patience * MS), extras.get("again") == "1", 0,
         )  # fmt: skip
-        sent = Sent(int(line.id, 16), name.encode(), key.encode(), line.sdp.encode())
+        sent = SetupPayload(int(line.id, 16), name.encode(), key.encode(), line.sdp.encode())
         return wanted, sent, at
 
     # What the driver says.
@@ -464,7 +466,7 @@
             flowing = [one for one in playback.tries if one.state == "flowing"]
             viewer.write(lines.answer(name, flowing[-1].handle.description))
             viewer.established += 1
-            if isinstance(playback.timeline, Viewing):
+            if isinstance(playback.timeline, SessionView):
                 playback.timeline.answered_at = self.now()
         else:
             viewer.write(lines.release(name, CAUSES[final.kind]))
@@ -485,7 +487,9 @@
 
     def _send_end(self, playback: Playback, message: bytes, wants_acknowledgement: bool = True) -> None:
         view = playback.timeline
-        connection, answered_at = (view.viewer, view.answered_at) if isinstance(view, Viewing) else (None, 0)
+        connection, answered_at = (
+            (view.viewer, view.answered_at) if isinstance(view, SessionView) else (None, 0)
+        )
         self.ends.send(playback.public, message, connection, answered_at, wants_acknowledgement)
 
     def _forget(self, playback: Playback) -> None:
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -33,9 +33,10 @@
 from burlmast.logic import EVENTS, Gateway
 from burlmast.node import frames
 from burlmast.node.frames import Frame
-from burlmast.node.hosts import HostConnection, MediaHost
+from burlmast.node.host_connection import HostConnection
 from burlmast.node.lines import Line as Message
 from burlmast.node.lines import LineReader
+from burlmast.node.media_host import MediaHost
 
 OTHER = "00000000000000aa"
 SESSION = int(ID, 16)
@@ -581,7 +582,7 @@
 def test_idle_connections_to_other_hosts_make_room_for_one_that_is_needed(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         first, second, third = one.hosts
-        one.program.hosts.wired = one.program.hosts.wired._replace(most=2)
+        one.program.hosts.limits = one.program.hosts.limits._replace(most=2)
         for host in (first, second):
             known(one, host).dial()
         await until(lambda: first.links and second.links)
