The name server's first answer is read though no descriptor is left

What callers saw: with all descriptors in use at the first answer of the name server, reading it raised in the event loop's callback and the list stayed as it was at the start. Cause: dnspython imports the classes of records when the first answer with them is parsed; opening the module's file failed with EMFILE, an OSError that node/names.py did not expect. Evidence: found by test_idle_viewers_and_no_discovery_leave_descriptors_for_those_who_play, which failed in one of three whole runs beside the standing test and in 2 of 14 repeats; the traceback names dns/rdtypes/IN/__init__.py. Change: the classes are imported at the start; an OSError while reading an answer makes it unsound.

--- a/burlmast/node/names.py
+++ b/burlmast/node/names.py
@@ -16,6 +16,13 @@
 import dns.rdataclass
 import dns.rdatatype
 
+# dnspython imports the classes of records with their first answer, which fails where no descriptor is left.
+import dns.rdtypes.ANY.OPT
+import dns.rdtypes.ANY.SOA
+import dns.rdtypes.ANY.TXT
+import dns.rdtypes.IN.A
+import dns.rdtypes.IN.SRV
+
 from burlmast.api import Standing
 
 SERVICE = "_work._tcp.fleet.local"
@@ -98,7 +105,7 @@
         if len(serials) != 1:
             raise Unsound("it has no serial")
         return int(serials[0]), _entries(message)
-    except (dns.exception.DNSException, struct.error, ValueError, IndexError, UnicodeError) as why:
+    except (dns.exception.DNSException, struct.error, ValueError, IndexError, UnicodeError, OSError) as why:
         raise Unsound(f"not an answer: {type(why).__name__}: {why}") from None
 
 
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 from itertools import pairwise
 from pathlib import Path
 from typing import Any
@@ -176,6 +178,22 @@
     assert dns.message.from_wire(query(7)).payload >= 8000
 
 
+WITHOUT_DESCRIPTORS = """
+import resource, sys
+from burlmast.node.names import read_answer
+data = sys.stdin.buffer.read()
+resource.setrlimit(resource.RLIMIT_NOFILE, (3, 3))
+serial, entries = read_answer(data, 7)
+print(serial, len(entries))
+"""
+
+
+def test_the_first_answer_is_read_where_no_descriptor_is_left() -> None:
+    command = [sys.executable, "-c", WITHOUT_DESCRIPTORS]
+    done = subprocess.run(command, input=reply(query(7), 5, ROWS), capture_output=True, check=False)
+    assert done.stdout.split() == [b"5", str(len(ROWS)).encode()], done.stderr.decode()
+
+
 @given(st.lists(st.sampled_from(["due", "answered", "unsound", "moved"]), max_size=40))
 def test_the_question_is_asked_again_whatever_comes(happenings: list[str]) -> None:
     asking, now = Asking(3), 0
