The soak's front sends nothing to a killed gateway and keeps a hand-over's connection

Change: no request after the kill; a connection counts as idle 0.2 s after a hand-over, the protocol's figure for what is handed over.

--- a/tests/node_soak.py
+++ b/tests/node_soak.py
@@ -34,6 +34,7 @@
 TOLD_WITHIN = 1.5  # after which a change of the list counts as told
 TOLD_AFTER_FAILURE = 6.0  # the same after a failed call to discovery
 READY_WITHIN = 10.0
+HANDED_OVER_AFTER = 0.2  # a session that is handed over counts so much later
 SLOW_WRITE = 0.05  # between the two pieces of a request
 KILL_GRACE = 0.7  # SIGKILL comes the longest deadline and this after SIGTERM
 ENDED, CUT, FULL, ERROR = 16, 41, 34, 47
@@ -298,6 +299,7 @@
         self.rest = b""
         self.open: set[str] = set()
         self.closed = self.paused = False
+        self.handed_over = 0.0  # when sessions were last handed over on it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
@@ -470,7 +472,7 @@
         draw = self.chance.random()
         if not usable or (draw < 0.1 and not self.killing):
             viewer = await self.connect(relayed=draw < 0.05)
-            if viewer is None or viewer.closed:
+            if viewer is None or viewer.closed or not self.taking:
                 return
         else:
             viewer = self.chance.choice(usable)
@@ -585,6 +587,7 @@
     def hand_over(self) -> None:
         direct = [viewer for viewer in self.viewers if not viewer.closed and not self.relayed(viewer)]
         viewer = direct[-1]  # of this life of the gateway
+        viewer.handed_over = time.monotonic()
         for session in self.sessions:
             record = self.requests.get(session.name)
             alive = any(host.name == session.host and not host.dead for host in self.hosts)
@@ -632,8 +635,11 @@
         self.link.put(WELL)
 
     async def viewers_leave(self, fault: Fault, host: SoakHost) -> None:
-        """Idle connections are closed by the front."""
+        """Idle connections are closed by the front; what was handed over so lately does not count yet."""
+        now = time.monotonic()
         for viewer in [one for one in self.viewers if not one.closed and not one.open]:
+            if now - viewer.handed_over < HANDED_OVER_AFTER:
+                continue
             self.closed_by_us.add(viewer)
             viewer.transport.close()
 
