The soak cuts, delays and resets the links to hosts too

Cause: only the links to viewers were cut; an end can be lost on the way from its host as well. A relay that lets nothing pass brings up no connection to its target either (it did, and a host then repeated its releases into a reset connection, which no network does): a test of the relay.

--- a/burlmast/standin/relay.py
+++ b/burlmast/standin/relay.py
@@ -111,26 +111,31 @@
 class Link:
     """A link to one target, on a port of its own."""
 
-    def __init__(self, target: tuple[str, int]) -> None:
-        """Must be made on a running loop."""
+    def __init__(self, target: tuple[str, int], port: int = 0) -> None:
+        """Must be made on a running loop. Port 0: one that is free."""
         self.target, self.state = target, WELL
         self.loop = asyncio.get_running_loop()
         self.halves: set[Half] = set()
-        self.port = 0
+        self.port = port
         self.dialled = 0
         self.passed = [0, 0]  # bytes that came, towards the target and back
         self._pieces = 0
+        self._held_dials: list[Half] = []
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> int:
         """Listen; the port. Raises OSError."""
-        self._server = await self.loop.create_server(lambda: Half(self, True), "127.0.0.1", 0)
+        self._server = await self.loop.create_server(lambda: Half(self, True), "127.0.0.1", self.port)
         self.port = int(self._server.sockets[0].getsockname()[1])
         return self.port
 
     def dial(self, near: Half) -> None:
-        """Reach the target for a connection that has come."""
+        """Reach the target for a connection that has come, once both directions pass: until then no network
+        would bring one up."""
+        if not (self.state.up and self.state.down):
+            self._held_dials.append(near)
+            return
         task = self.loop.create_task(self._dial(near))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -161,9 +166,14 @@
                 half.abort()
             else:
                 half.pump()
+        held, self._held_dials = self._held_dials, []
+        for near in held:
+            if near in self.halves:
+                self.dial(near)
 
     def reset(self) -> None:
         """End all connections at once; new ones pass."""
+        self._held_dials.clear()
         for half in list(self.halves):
             half.abort()
 
--- a/tests/node_soak.py
+++ b/tests/node_soak.py
@@ -67,6 +67,7 @@
     "viewers leave", "host hangs", "host resets", "host closes", "host replaced", "host drains",
     "names silent", "names slow", "bad clients", "health checks", "slow viewer", "host spoils",
 )  # fmt: skip
+HOST_LINK_KINDS = ("host link silent", "host link deaf", "host link reset", "host link late")
 
 
 def draw(seed: int) -> Schedule:
@@ -81,6 +82,16 @@
         )
         for _ in range(chance.randint(4, 9))
     ]
+    links = random.Random(zlib.crc32(f"node soak host links {seed}".encode()))
+    faults += [
+        Fault(
+            round(links.uniform(0.3, ACTIVE - 0.5), 3),
+            links.choice(HOST_LINK_KINDS),
+            round(links.uniform(0.2, 1.6), 3),
+            links.randrange(8),
+        )
+        for _ in range(links.randint(0, 3))
+    ]
     if seed % 2:
         faults.append(Fault(round(chance.uniform(2.0, 4.0), 3), "sigterm", 1.0, 0))
     return Schedule(
@@ -176,7 +187,9 @@
     """A media host that keeps to the protocol and fails as the schedule says."""
 
     def __init__(self, soak: Soak, name: str, port: int = 0) -> None:
-        self.soak, self.name, self.port = soak, name, port
+        self.soak, self.name, self.port = soak, name, port  # the port at which the gateway reaches it
+        self.link: Link | None = None  # between the gateway and it
+        self.cut: list[tuple[float, float]] = []  # when its link held back what passed, or reset
         self.connections: list[HostSide] = []
         self.origins: dict[str, HostSide] = {}
         self.sessions: dict[str, SessionRecord] = {}
@@ -189,8 +202,9 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: HostSide(self), "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        self.server = await loop.create_server(lambda: HostSide(self), "127.0.0.1", 0)
+        self.link = Link(("127.0.0.1", self.server.sockets[0].getsockname()[1]), self.port)
+        self.port = await self.link.start()
 
     def when_awake(self, work: Callable[[], object]) -> None:
         self.asleep.append(work) if self.hung else work()
@@ -224,6 +238,8 @@
             fate = chance.random()
             if fate < 0.08:
                 connection.send(_release(name, FULL))
+                if fate < 0.02:  # a second copy, late
+                    self.soak.later(0.01, lambda: connection.send(_release(name, FULL)))
             elif fate < 0.12:
                 connection.send(_release(name, ERROR))
             elif fate < 0.16 and self.spoils:
@@ -285,6 +301,8 @@
         self.dead = True
         if self.server is not None:
             self.server.close()
+        if self.link is not None:
+            self.link.close()
         for session in self.sessions.values():
             session.ended = session.ended or time.monotonic()
         self.drop_connections(reset=True)
@@ -652,6 +670,28 @@
     async def host_closes(self, fault: Fault, host: SoakHost) -> None:
         host.when_awake(lambda: host.drop_connections(reset=False))
 
+    async def host_link(
+        self, fault: Fault, host: SoakHost, state: State = SILENT, ends: bool = False
+    ) -> None:
+        """What passes between the gateway and a host is held back, and lost if the link is reset."""
+        assert host.link is not None
+        began = time.monotonic()
+        host.link.put(state)
+        await asyncio.sleep(fault.lasts)
+        if ends:
+            host.link.reset()
+        host.link.put(WELL)
+        host.cut.append((began, time.monotonic()))
+
+    async def host_link_deaf(self, fault: Fault, host: SoakHost) -> None:
+        await self.host_link(fault, host, DEAF)
+
+    async def host_link_reset(self, fault: Fault, host: SoakHost) -> None:
+        await self.host_link(fault, host, SILENT, ends=True)
+
+    async def host_link_late(self, fault: Fault, host: SoakHost) -> None:
+        await self.host_link(fault, host, State(delay_s=0.15))
+
     async def host_spoils(self, fault: Fault, host: SoakHost) -> None:
         host.spoils = True
 
@@ -857,7 +897,7 @@
                 )
                 continue
             within = END_WITHIN if session.released else CUT_WITHIN
-            since = max(session.ended, record.answers[0][0])
+            since = max(session.ended, record.answers[0][0], self.link_well(session))
             took = record.ends[0] - since - self.down(since, record.ends[0])
             if took > within + SLACK + self.soak.lag and not self.without_connection(since):
                 self.soak.broken.append(
@@ -865,6 +905,13 @@
                     f"{since - self.soak.began:.3f} (release written: {bool(session.released)})"
                 )
 
+    def link_well(self, session: SessionRecord) -> float:
+        """From when on the link of its host let a session's release pass."""
+        host = next(host for host in self.soak.hosts if host.name == session.host)
+        return max(
+            (to for since, to in host.cut if since <= session.ended + SLACK <= to + SLACK), default=0.0
+        )
+
     def without_connection(self, at: float) -> bool:
         """Whether an end may have found no connection, or the process, so that 8 s count."""
         return any(since - CUT_WITHIN <= at <= to + END_WITHIN for since, to in self.soak.stops)
@@ -878,8 +925,9 @@
             if self.soak.names_back > since - TOLD_WITHIN or self.soak.names_down:
                 told = max(since, self.soak.names_back) + TOLD_AFTER_FAILURE
             limit = told + GRACE + SLACK + self.soak.lag
+            held = sum(to - begun for begun, to in host.cut)
             for at, name in host.set_ups:
-                if at > limit + self.down(since, at):
+                if at > limit + held + self.down(since, at):
                     self.soak.broken.append(
                         f"drain: {name} came to {host.name} {at - since:.3f} s after the list changed"
                     )
@@ -920,6 +968,10 @@
     "host closes": Soak.host_closes,
     "host replaced": Soak.host_replaced,
     "host drains": Soak.host_drains,
+    "host link silent": Soak.host_link,
+    "host link deaf": Soak.host_link_deaf,
+    "host link reset": Soak.host_link_reset,
+    "host link late": Soak.host_link_late,
     "host spoils": Soak.host_spoils,
     "names silent": Soak.names_silent,
     "names slow": Soak.names_slow,
--- a/tests/test_node_soak.py
+++ b/tests/test_node_soak.py
@@ -23,4 +23,4 @@
 def test_a_schedule_is_the_same_each_time() -> None:
     assert node_soak.draw(7) == node_soak.draw(7) != node_soak.draw(8)
     kinds = {fault.kind for seed in range(60) for fault in node_soak.draw(seed).faults}
-    assert kinds == set(node_soak.KINDS) == set(node_soak.FAULTS)
+    assert kinds == {*node_soak.KINDS, *node_soak.HOST_LINK_KINDS} == set(node_soak.FAULTS)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -114,3 +114,34 @@
         assert time.monotonic() - began >= 0.1
 
     linked(play)
+
+
+@pytest.mark.parametrize("state", [SILENT, MUTE, DEAF])
+def test_no_connection_reaches_the_target_through_a_silent_link_until_it_heals(state: State) -> None:
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        reached: list[Echo] = []
+
+        def come() -> Echo:
+            reached.append(Echo())
+            return reached[-1]
+
+        server = await loop.create_server(come, "127.0.0.1", 0)
+        link = Link(("127.0.0.1", server.sockets[0].getsockname()[1]))
+        await link.start()
+        link.put(state)
+        _, lost = await loop.create_connection(Near, "127.0.0.1", link.port)
+        await until(lambda: link.halves)
+        link.reset()  # who is reset before it healed never reaches the target
+        await until(lambda: lost.lost)
+        _, near = await loop.create_connection(Near, "127.0.0.1", link.port)
+        await until(lambda: len(link.halves) == 1)
+        await asyncio.sleep(0.05)
+        assert not reached
+        link.put(WELL)
+        await until(lambda: reached)
+        assert len(reached) == 1 and not near.lost
+        link.close()
+        server.close()
+
+    asyncio.run(work())
