A move is not sent to each new connection; an end looks for a substitute only when it needs one

Cause: a message that wants no acknowledgement was due again after 0.2 s and so went out on any connection that came up within its second; and each end went over all connections though its own is chosen first. Change: such a message is due again on a loss alone; the connection that asked is taken without looking at the others.

--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -192,13 +192,13 @@
 
     def _choose(self, end: PendingEnd) -> EndConnection | None:
         """The connection that asked, else the one that is most likely read by whom the session belongs to."""
+        if not end.sends and end.preferred is not None and end.preferred.usable:
+            return end.preferred
         untried = [
             connection
             for connection in self._connections()
             if connection.usable and end.sent_on(connection) is None
         ]
-        if end.preferred in untried:
-            return end.preferred
         return max(untried, key=_likely_read, default=None)
 
     def _log_send(self, end: PendingEnd, connection: EndConnection, reason: str) -> None:
@@ -210,6 +210,8 @@
 
 
 def _resend_after(end: PendingEnd, now: int) -> int:
+    if not end.wants_acknowledgement:
+        return UNACKNOWLEDGED_KEPT
     if now - end.ended_at >= PROMPT:
         return SLOW_RESEND_AFTER
     return RESEND_AFTER if len(end.sends) > 1 or end.answer_delivered() else RESEND_AFTER_UNPROVEN
--- a/tests/test_node_delivery.py
+++ b/tests/test_node_delivery.py
@@ -164,6 +164,19 @@
     assert not world.delivery.pending
 
 
+def test_a_message_that_wants_no_acknowledgement_goes_to_a_new_connection_only_after_a_loss() -> None:
+    own = Connection("own")
+    world = World(own)
+    world.delivery.send("a", b"move", own, wants_acknowledgement=False)
+    world.pass_time(2 * RESEND_AFTER)
+    second = world.connect(Connection("second"))
+    assert second.written == []
+    world.lose(second)
+    world.lose(own)
+    third = world.connect(Connection("third"))
+    assert third.written == [b"move"]
+
+
 def test_a_closed_delivery_sends_nothing() -> None:
     own, other = Connection("own"), Connection("other")
     world = World(own, other)
