SIGTERM counts from before a stop of the process that it may have waited through

A gateway that was stopped for 0.6 s as SIGTERM was sent handled it 0.5 s late, counted the earliest kill from then, and two requests had no answer at the kill. Cause: Shutdown counted from when the signal was handled; the platform counts from when it sent it.

--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -194,6 +194,8 @@
         self.events = events
         self._connection_names = 0
         self.shutdown = Shutdown(configuration.abandon_times)
+        self._last_sweep = self._gap_since = now()
+        self._gap_until = 0  # when the last gap between sweeps ended; 0: there was none
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
         self.handed_over: Callable[[Try, SetupPayload], None] | None = None
@@ -276,6 +278,7 @@
     def sweep(self) -> None:
         """Close those who have sent nothing sound for too long."""
         now = self.now()
+        self._note_gap(now)
         for viewer in list(self.viewers):
             half = viewer.partial_since and now - viewer.partial_since >= UNSOUND_FOR
             if viewer.closing_since and now - viewer.closing_since >= UNSOUND_FOR:
@@ -291,6 +294,17 @@
         if not self._closed:
             self._loop.call_later(SWEEP / 1e9, self.sweep)
 
+    def waiting_since(self, now: int) -> int:
+        """Since when what is handled now may have waited: `now`, or the last sweep before a gap just ended."""
+        self._note_gap(now)
+        return self._gap_since if now - self._gap_until < SWEEP else now
+
+    def _note_gap(self, now: int) -> None:
+        """Sweeps are regular, unless the process was stopped or found no time."""
+        if now - self._last_sweep >= 2 * SWEEP:
+            self._gap_since, self._gap_until = self._last_sweep, now
+        self._last_sweep = now
+
     def close(self) -> None:
         """Answer what is held, and close every connection."""
         self._closed = True
--- a/burlmast/shutdown.py
+++ b/burlmast/shutdown.py
@@ -25,10 +25,13 @@
         self._longest = min(max(deadlines, default=0), LONGEST_DEADLINE)
         self.answers_by: int | None = None  # when the last answer has to be out; None: no end is in sight
 
-    def begin(self, now: int) -> int:
-        """SIGTERM has come, perhaps again; when the last answer has to be out."""
+    def begin(self, sent_since: int) -> int:
+        """SIGTERM has come, perhaps again; when the last answer has to be out.
+
+        `sent_since` is the earliest time at which it may have been sent: a process that was stopped handles
+        it late, and the platform counts from when it sent it."""
         if self.answers_by is None:
-            self.answers_by = now + self._longest + GRACE - MARGIN
+            self.answers_by = sent_since + self._longest + GRACE - MARGIN
         return self.answers_by
 
     def time_allowed(self, now: int, wanted: int) -> int:
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -119,6 +119,36 @@
     asyncio.run(whole())
 
 
+def test_a_gateway_that_was_stopped_as_sigterm_came_answers_before_the_earliest_kill(tmp_path: Path) -> None:
+    plan = {**SETTINGS["requestClasses"][0], "goalTimeMs": 500.0, "hardLimitMs": 1000.0}
+
+    async def whole() -> None:
+        settings = {**SETTINGS, "requestClasses": [plan]}
+        async with platform(tmp_path, settings=settings) as one, nodes(one) as (node,):
+            line = await node.line()
+            for host in one.hosts:
+                host.does = lambda message: b""
+            line.set_up("00000000000000aa")
+            await until(lambda: heard(one, frames.SETUP))
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(0.3)
+            node.process.send_signal(signal.SIGTERM)
+            kill_at = time.monotonic() + 1.0 + 0.7
+            await asyncio.sleep(0.5)
+            node.process.send_signal(signal.SIGCONT)
+            await asyncio.sleep(kill_at - 0.35 - time.monotonic())
+            for number in range(10):
+                line.set_up(f"{number + 0x100:016x}", key=f"{number:x}")
+            await asyncio.sleep(kill_at - time.monotonic())
+            node.process.kill()
+            answered = set()
+            while message := await line.hear():
+                answered.add(message["id"])
+            assert len(answered) == 11
+
+    asyncio.run(whole())
+
+
 def test_sigterm_during_the_start_ends_it_before_it_has_taken_anything(tmp_path: Path) -> None:
     async def whole() -> None:
         async with platform(tmp_path) as one, nodes(one) as (node,):
