A connection to a host with sessions is kept until the host has written on it

A host that hung, or whose link was slow, repeated its releases on the connection that was opened next; the gateway's set-up on that connection ran out of time and it was closed before the host had come to it. The viewers never received the ends. Cause: a connection on which nothing had come yet was retired, or given up while it came up, like any other; what a host repeats comes first on a connection that it takes, perhaps late. Change: such a connection is read on while the host has sessions; a dial that ran out of time counts as a release that may be lost (reopen); retired connections are looked at again regularly.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -132,6 +132,7 @@
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = host.pool.now()
+        self.received_any = False  # whether the host has written on it
         self.used = host.pool.now()  # when something last passed on it
         self.carried = CarriedAttempts()
         self.sent_lately: deque[SentLately] = deque()  # what concerned established sessions
@@ -159,6 +160,9 @@
             self.host.short_of_descriptors()
         else:
             self.host.unreachable(isinstance(why, ConnectionRefusedError))
+            if why is None:
+                # The host may see it come up all the same, and repeat its releases there.
+                self.host.reopen("dial_timed_out")
 
     def drop(self) -> None:
         """It is waited for no longer."""
@@ -191,6 +195,7 @@
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
         self.used = self.host.pool.now()
+        self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
         self._watch_partial(new=bool(found))
         for one in found:
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -224,8 +224,10 @@
         self.keep_reachable()
 
     def expects_end_on(self, connection: HostConnection) -> bool:
-        """Whether the host may write a session's release on this connection and on no other that is open."""
-        if connection.sessions:
+        """Whether the host may write a session's release on this connection and on no other that is open.
+
+        What it repeats on a connection that is opened comes first there, perhaps once it hangs no longer."""
+        if connection.sessions or (self.has_sessions() and not connection.received_any):
             return True
         others = any(other.usable for other in self.connections if other is not connection)
         return not others and self.has_sessions()
@@ -477,6 +479,8 @@
         for connection in list(self.connections):
             if connection.stuck_since and now - connection.stuck_since >= self.pool.limits.connect:
                 connection.close("not understood")
+        for connection in [one for one in self.connections if one.state == "leaving"]:
+            connection.retire()
         if not self.has_sessions():
             self.last_received = now
             self.reopen_since = 0
@@ -488,7 +492,7 @@
         elif self.reopen_since:
             self._dial_for_reopen()
         for connection in self.open_connections():
-            if not self.fresh(connection, now) and self.spares(connection):
+            if connection.received_any and not self.fresh(connection, now) and self.spares(connection):
                 connection.close("retired")
 
 
