--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -295,7 +295,8 @@
             self._loop.call_later(SWEEP / 1e9, self.sweep)
 
     def waiting_since(self, now: int) -> int:
-        """Since when what is handled now may have waited: `now`, or the last sweep before a gap just ended."""
+        """Since when what is handled now may have waited: `now`, or the last sweep before a gap that just
+        ended."""
         self._note_gap(now)
         return self._gap_since if now - self._gap_until < SWEEP else now
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -80,6 +80,8 @@
         self.carried: list[tuple[int, asyncio.StreamWriter]] = []  # set-ups, and the connection of each
         self.to_repeat: list[bytes] = []  # releases that the next connection to be opened carries again
         self.server: asyncio.Server | None = None
+        self.awake = asyncio.Event()  # while it is not set, what comes on new connections is not looked at
+        self.awake.set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(
@@ -90,6 +92,10 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One connection, to its end."""
         self.links.append(writer)
+        try:
+            await self.awake.wait()
+        except asyncio.CancelledError:
+            return
         repeated, self.to_repeat = self.to_repeat, []
         writer.write(b"".join(repeated))
         taken = FrameReader()
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -426,6 +426,27 @@
     run(work, tmp_path, 1)
 
 
+def test_an_end_repeated_on_a_connection_that_a_hung_host_takes_late_arrives(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        at, connect = known(one, host), SETTINGS["allowed"]["connectTimeoutMs"] / 1000
+        (lost,) = at.connections
+        host.awake.clear()
+        host.to_repeat.append(release(SESSION, 16))  # it was written, and is lost with its connection
+        host.links[0].transport.abort()
+        await until(lambda: lost.state == "closed" and len(at.connections) == 1)
+        (taken_late,) = at.connections
+        at.dial()
+        await until(lambda: len(at.connections) == 2)
+        at._probe_on(taken_late, 7, one.program.now())
+        await until(lambda: taken_late.state != "open")
+        await asyncio.sleep(2 * connect)
+        host.awake.set()
+        assert (await line.hear())["id"] == ID
+
+    run(work, tmp_path, 1)
+
+
 def test_an_end_that_crosses_the_gateways_close_of_an_idle_connection_arrives(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
