Comments and names of the node's host modules in plain words

Change: names and comments alone: HostAttempt.one is driver_attempt; comments that opened with Danger state the hazard in a sentence.

--- a/burlmast/node/__main__.py
+++ b/burlmast/node/__main__.py
@@ -4,7 +4,7 @@
 import sys
 
 if __name__ == "__main__":
-    # Danger: until its handler stands, SIGHUP would end the process; the file is read again by then.
+    # Until its handler stands, SIGHUP would end the process; the file is read again by then.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from burlmast.node.program import main
 
--- a/burlmast/node/acceptor.py
+++ b/burlmast/node/acceptor.py
@@ -63,7 +63,7 @@
                     raise
                 self._listener.remark("no descriptor for a viewer")
                 self._pause()
-                # Danger: those who wait behind a crowd of idle ones must not wait for each of them in turn.
+                # Those who wait behind a crowd of idle ones must not wait for each of them in turn.
                 soon = self._listener.make_room()
                 self._retry = self._loop.call_later(0 if soon else SWEEP / 1e9, self._again)
                 return
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -99,17 +99,17 @@
     __slots__ = (
         "connection",
         "description",
+        "driver_attempt",
         "established",
         "host",
-        "one",
         "origin",
         "sent",
         "session",
         "written",
     )
 
-    def __init__(self, one: Try, host: Host, sent: SetupPayload) -> None:
-        self.one, self.host, self.sent, self.session = one, host, sent, sent.session
+    def __init__(self, driver_attempt: Try, host: Host, sent: SetupPayload) -> None:
+        self.driver_attempt, self.host, self.sent, self.session = driver_attempt, host, sent, sent.session
         self.connection: HostConnection | None = None  # the connection that carries it while it is out
         self.origin: HostConnection | None = None  # the connection of its set-up
         self.written = self.established = False  # its set-up was written; it has been answered
@@ -152,7 +152,7 @@
 
     def failed(self, why: OSError | None) -> None:
         """It did not come up; without a reason, in time."""
-        # Danger: time may run out between the coming up and the return of what dialled; one of them counts.
+        # Time may run out between the coming up and the return of what dialled; one of them counts.
         if self.state != "connecting":
             return
         self.drop()
@@ -198,8 +198,8 @@
         self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
         self._watch_partial(new=bool(found))
-        for one in found:
-            self.host.received(self, one)
+        for message in found:
+            self.host.received(self, message)
         if wrong is not None:
             self.host.pool.callbacks.remark(f"host {self.host.name}: {wrong}")
             self.close("not understood")
@@ -218,7 +218,7 @@
             self.host.reopen("partial_message")
 
     def eof_received(self) -> bool:
-        # Danger: the transport says so a turn of the loop later, and what is written until then is lost.
+        # The transport says so a turn of the loop later, and what is written until then is lost.
         self.close("retired" if self.state == "closing" else "connection lost")
         return False
 
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -106,8 +106,8 @@
         """A host has started again: what stood there before is over."""
         host = self.hosts.get(number)
         if host is not None:
-            for attempt in [one for one in host.attempts.values() if one.one.sent_at < at]:
-                # Danger: what was meant for the warm process may be too much for the cold one.
+            for attempt in [each for each in host.attempts.values() if each.driver_attempt.sent_at < at]:
+                # What was meant for the warm process may be too much for the cold one.
                 unsent = not attempt.written and not attempt.established
                 host.finish(
                     attempt, BINARY_ENDINGS["not sent", None] if unsent else BINARY_ENDS[41], api.Load()
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -50,7 +50,7 @@
 
     def fresh(self, connection: HostConnection, now: int) -> bool:
         """Whether its host does not close it for being idle while something is on its way there."""
-        # Danger: a set-up that crosses such a close may have run, and an unsafe one is lost.
+        # A set-up that crosses such a close may have run, and an unsafe one is lost.
         idle = self.pool.limits.idle
         return idle <= 0 or now - connection.used < max(idle - self.pool.limits.connect, idle // 2)
 
@@ -142,7 +142,7 @@
             self.waiting or self.backlog or (self.has_sessions() and not self.connections)
         ):
             return
-        connection = self.choose(self.waiting[0].one.playback.number) if self.waiting else None
+        connection = self.choose(self.waiting[0].driver_attempt.playback.number) if self.waiting else None
         if connection is not None:
             self.send(connection, self.waiting.pop(0))
         elif self.pool.room():
@@ -150,7 +150,7 @@
 
     def drain(self) -> None:
         """Nothing new may go to it: what was not sent goes elsewhere, and probes of one that is gone end."""
-        for attempt in [one for one in self.attempts.values() if not one.written and not one.established]:
+        for attempt in [each for each in self.attempts.values() if not (each.written or each.established)]:
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
         if self.in_service:
             return
@@ -158,7 +158,7 @@
         for _, began in probes:
             took = max(0, self.pool.now() - began)
             self.pool.callbacks.probed(self.number, Ending.NO_CONNECTION, took, api.Load())
-        for attempt in [one for one in self.attempts.values() if not one.established]:
+        for attempt in [each for each in self.attempts.values() if not each.established]:
             if attempt.connection is not None:
                 attempt.connection.write(frames.release(attempt.session))
             self.finish(attempt, Ending.BROKEN, api.Load())
@@ -167,10 +167,10 @@
     def remove(self, why: str) -> None:
         """The list has dropped it, or has it elsewhere: nothing is waited for at this address any more."""
         self.in_service = False
-        # Danger: the address may be another host's by now, and what comes up there would carry what waits.
+        # The address may be another host's by now, and what comes up there would carry what waits.
         for connection in list(self.connecting):
             connection.drop()
-        # Danger: a machine that goes for good says nothing, and its connections stay open.
+        # A machine that goes for good says nothing, and its connections stay open.
         self.cut(why)
 
     def unreachable(self, refused: bool) -> None:
@@ -189,13 +189,15 @@
                     self.number, Ending.NO_CONNECTION, max(0, self.pool.now() - began), api.Load()
                 )
         silent = not self.open_connections() or self.pool.now() - self.last_received >= SILENT
-        # Danger: a host that drains refuses connections and plays on; the list says when it is gone.
+        # A host that drains refuses connections and plays on; the list says when it is gone.
         if not self.draining and (refused or (self.failures >= GONE_AFTER and silent)):
             self.cut("refused" if refused else "silent")
 
     def cut(self, why: str) -> None:
         """What stood here is over."""
-        standing = [attempt for attempt in self.attempts.values() if attempt.one.state == "flowing"]
+        standing = [
+            attempt for attempt in self.attempts.values() if attempt.driver_attempt.state == "flowing"
+        ]
         if standing:
             self.pool.callbacks.remark(f"host {self.name}: {why}, {len(standing)} playbacks cut")
         self.backlog.clear()
@@ -234,7 +236,7 @@
 
     def has_sessions(self) -> bool:
         """Whether something plays here."""
-        return any(attempt.one.state == "flowing" for attempt in self.attempts.values())
+        return any(attempt.driver_attempt.state == "flowing" for attempt in self.attempts.values())
 
     def keep_reachable(self) -> None:
         """What stands here is told of on any connection: there has to be one."""
@@ -251,7 +253,7 @@
 
     def take(self, attempt: HostAttempt) -> None:
         self.attempts[attempt.session] = attempt
-        connection = self.choose(attempt.one.playback.number)
+        connection = self.choose(attempt.driver_attempt.playback.number)
         if connection is not None:
             self.send(connection, attempt)
         elif self.pool.room() or self.connecting:
@@ -265,14 +267,14 @@
         """Send it there, once what its viewer has written by now has been read."""
         attempt.connection = attempt.origin = connection
         connection.out[attempt.session] = attempt
-        connection.carried.add(attempt.one.playback.number)
-        if self.pool.callbacks.unread(attempt.one):
+        connection.carried.add(attempt.driver_attempt.playback.number)
+        if self.pool.callbacks.unread(attempt.driver_attempt):
             self.pool.after_reading(lambda: self.write(connection, attempt))
         else:
             self.write(connection, attempt)
 
     def write(self, connection: HostConnection, attempt: HostAttempt) -> None:
-        one, now = attempt.one, self.pool.now()
+        one, now = attempt.driver_attempt, self.pool.now()
         if attempt.connection is not connection or not self.pool.callbacks.wanted(one):
             return  # it has ended
         if now >= one.due:
@@ -307,7 +309,7 @@
         if attempt in self.waiting:
             self.waiting.remove(attempt)
             self.dial_no_more()
-        attempt.one.handle = None  # or the two would hold each other until the collector comes
+        attempt.driver_attempt.handle = None  # or the two would hold each other until the collector comes
         origin, attempt.origin = attempt.origin, None
         if origin is not None:
             origin.sessions.discard(attempt.session)
@@ -325,22 +327,22 @@
             self.pool.events.trace(
                 "session_ended" if attempt.established else "attempt_ended",
                 session_name(attempt.session),
-                attempt=attempt.one.place,
+                attempt=attempt.driver_attempt.place,
                 host=self.name,
                 cause=ending.value.replace(" ", "_"),
             )
             self.forget(attempt)
-            self.pool.callbacks.ended(attempt.one, ending, load)
+            self.pool.callbacks.ended(attempt.driver_attempt, ending, load)
 
     def give_up(self, attempt: HostAttempt) -> None:
         """The driver has ended the try."""
         connection = attempt.connection
-        late = self.pool.now() >= attempt.one.due
+        late = self.pool.now() >= attempt.driver_attempt.due
         self.forget(attempt)
         if connection is not None and attempt.written:
             connection.write(frames.release(attempt.session))
             if late:
-                # Danger: what answers nothing may answer nothing else on that connection either.
+                # What answers nothing may answer nothing else on that connection either.
                 connection.retire()
         elif attempt.established:
             self.send_on_session(frames.release(attempt.session), RELEASE_REPEATED)
@@ -385,18 +387,20 @@
             self.forget(attempt)
             self.pool.callbacks.remark(f"host {self.name}: an answer without a description")
             connection.write(frames.release(attempt.session))
-            self.pool.callbacks.ended(attempt.one, BINARY_ENDINGS["not understood", None], api.Load())
+            self.pool.callbacks.ended(
+                attempt.driver_attempt, BINARY_ENDINGS["not understood", None], api.Load()
+            )
         else:
             attempt.description, attempt.established = message.description, True
             connection.sessions.add(attempt.session)
             self.pool.events.trace(
                 "session_established",
                 session_name(attempt.session),
-                attempt=attempt.one.place,
+                attempt=attempt.driver_attempt.place,
                 host=self.name,
                 connection=connection.name,
             )
-            self.pool.callbacks.flowing(attempt.one)
+            self.pool.callbacks.flowing(attempt.driver_attempt)
         if connection.state == "leaving":
             connection.retire()
 
@@ -405,13 +409,13 @@
         if attempt is None:
             return
         cause, load = message.cause, message.load(self.pool.limits.report)
-        if attempt.one.state == "flowing":
+        if attempt.driver_attempt.state == "flowing":
             # What answers an earlier attempt may come twice, late; a session that was established goes on.
             refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
             earlier = (
                 attempt.origin in self.connections
                 and connection is not attempt.origin
-                and connection.carried.may_repeat(attempt.one.playback.number, cause)
+                and connection.carried.may_repeat(attempt.driver_attempt.playback.number, cause)
             )
             if not refusal and not earlier:
                 self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
@@ -427,14 +431,14 @@
                 if earlier and not refusal:
                     self.reopen("release_ignored")
         elif attempt.connection is connection:
-            connection.carried.refused(attempt.one.playback.number, cause)
+            connection.carried.refused(attempt.driver_attempt.playback.number, cause)
             none = BINARY_ENDINGS["release", None]
             self.finish(attempt, BINARY_ENDINGS.get(("release", cause), none), load)
 
     def _noted(self, connection: HostConnection, message: Frame) -> None:
         attempt, note = self.attempts.get(message.session), message.note
         if attempt is not None and note is not None:
-            self.pool.callbacks.noted(attempt.one, *note)
+            self.pool.callbacks.noted(attempt.driver_attempt, *note)
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
         probe = connection.probes.pop(message.session, None)
@@ -479,13 +483,13 @@
         for connection in list(self.connections):
             if connection.stuck_since and now - connection.stuck_since >= self.pool.limits.connect:
                 connection.close("not understood")
-        for connection in [one for one in self.connections if one.state == "leaving"]:
+        for connection in [each for each in self.connections if each.state == "leaving"]:
             connection.retire()
         if not self.has_sessions():
             self.last_received = now
             self.reopen_since = 0
         elif not self.connections and not self.connecting:
-            # Danger: the list may have dropped it while a connection was still hoped for.
+            # The list may have dropped it while a connection was still hoped for.
             self.keep_reachable()
         elif now - self.last_received >= SILENT and not self.connecting:
             self.dial()
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -113,7 +113,7 @@
         """Begin to listen."""
         self.loop.add_signal_handler(signal.SIGHUP, self.read_again)
         self.loop.add_signal_handler(signal.SIGTERM, self.stop)
-        # Danger: until here SIGHUP was ignored, and the file may have been replaced since it was read.
+        # Until here SIGHUP was ignored, and the file may have been replaced since it was read.
         self.read_again()
         self.acceptor = Acceptor(self.configuration.listen, self.listener)
         self.port = self.acceptor.port
--- a/burlmast/node/resolver.py
+++ b/burlmast/node/resolver.py
@@ -119,7 +119,7 @@
                 self._do("ask afresh")
             return
         if fresh.transport is not None:
-            # Danger: the old socket is given up only for a new one, or a shortage would leave none.
+            # The old socket is given up only for a new one, or a shortage would leave none.
             self._leave()
             self.question = fresh
         if self.question is not None:
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -102,7 +102,7 @@
             return
         self.last_received = self.listener.now()
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
-        # Danger: whose every reading ends within a line, or who sends slowly, is at work and not stuck.
+        # Whose every reading ends within a line, or who sends slowly, is at work and not stuck.
         self.partial_since = self.last_received if self.reader.partial else 0
         try:
             for line in self._standing_by(found):
@@ -131,7 +131,7 @@
         return kept
 
     def eof_received(self) -> bool:
-        # Danger: the transport waits for what it has yet to write before it says that this one is gone.
+        # The transport waits for what it has yet to write before it says that this one is gone.
         self.closed_because = self.closed_because or "closed_by_peer"
         self.listener.abandoned(self)
         self.closing_since = self.listener.now()
@@ -233,7 +233,7 @@
         """Close the connection that is missed least; False where something is asked on each."""
         idle = [one for one in self.viewers if not one.open and one.usable]
         idle.sort(key=lambda one: (one.standing(self.now()), one.last_received))
-        # Danger: what has written already and was not read yet is idle no longer.
+        # What has written already and was not read yet is idle no longer.
         chosen = next((one for one in idle if not one.waiting()[1]), idle[0] if idle else None)
         if chosen is not None:
             self.counts["closed for room"] += 1
@@ -282,7 +282,7 @@
         for viewer in list(self.viewers):
             half = viewer.partial_since and now - viewer.partial_since >= UNSOUND_FOR
             if viewer.closing_since and now - viewer.closing_since >= UNSOUND_FOR:
-                # Danger: who reads nothing would keep its descriptor for good.
+                # Who reads nothing would keep its descriptor for good.
                 self.counts["closed at once"] += 1
                 viewer.closed_because = viewer.closed_because or "not_read"
                 assert viewer.transport is not None
@@ -472,7 +472,7 @@
             return
         viewer.open.pop(name, None)
         if final.kind == "plays" and viewer.waiting()[0]:
-            # Danger: it would never hear that it plays, and nobody would end it at its host.
+            # It would never hear that it plays, and nobody would end it at its host.
             self.counts["gone before its answer"] += 1
             playback.reply = None
             self.leave(playback)
