--- a/tests/test_node_soak.py
+++ b/tests/test_node_soak.py
@@ -10,6 +10,8 @@
 
 import node_soak
 import pytest
+import soak_faults
+import soak_schedule
 
 FIRST, _, LAST = os.environ.get("NODE_SOAK_SEEDS", "1-6").partition("-")
 
@@ -21,6 +23,6 @@
 
 
 def test_a_schedule_is_the_same_each_time() -> None:
-    assert node_soak.draw(7) == node_soak.draw(7) != node_soak.draw(8)
-    kinds = {fault.kind for seed in range(60) for fault in node_soak.draw(seed).faults}
-    assert kinds == {*node_soak.KINDS, *node_soak.HOST_LINK_KINDS} == set(node_soak.FAULTS)
+    assert soak_schedule.draw(7) == soak_schedule.draw(7) != soak_schedule.draw(8)
+    kinds = {fault.kind for seed in range(60) for fault in soak_schedule.draw(seed).faults}
+    assert kinds == {*soak_schedule.KINDS, *soak_schedule.HOST_LINK_KINDS} == set(soak_faults.FAULTS)
