--- a/burlmast/node/acceptor.py
+++ b/burlmast/node/acceptor.py
@@ -61,7 +61,7 @@
             except OSError as why:
                 if why.errno not in SHORTAGE:
                     raise
-                self._listener.remark("no descriptor for a viewer")
+                self._listener.log_line("no descriptor for a viewer")
                 self._pause()
                 # Those who wait behind a crowd of idle ones must not wait for each of them in turn.
                 soon = self._listener.make_room()
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -201,7 +201,7 @@
         for message in found:
             self.host.received(self, message)
         if wrong is not None:
-            self.host.pool.callbacks.remark(f"host {self.host.name}: {wrong}")
+            self.host.pool.callbacks.log_line(f"host {self.host.name}: {wrong}")
             self.close("not understood")
 
     def _watch_partial(self, new: bool) -> None:
--- a/burlmast/node/host_interface.py
+++ b/burlmast/node/host_interface.py
@@ -52,5 +52,5 @@
     def shortage(self) -> None:
         """There was no descriptor for a connection."""
 
-    def remark(self, text: str) -> None:
+    def log_line(self, text: str) -> None:
         """A line for the log."""
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -128,7 +128,7 @@
 
     def short_of_descriptors(self) -> None:
         """No connection could be tried: that tells nothing of the host. It is tried again soon."""
-        self.pool.callbacks.remark(f"host {self.name}: no descriptor for a connection")
+        self.pool.callbacks.log_line(f"host {self.name}: no descriptor for a connection")
         self.pool.callbacks.shortage()
         probes, self.probes = self.probes, []
         for _, began in probes:
@@ -199,7 +199,7 @@
             attempt for attempt in self.attempts.values() if attempt.driver_attempt.state == "flowing"
         ]
         if standing:
-            self.pool.callbacks.remark(f"host {self.name}: {why}, {len(standing)} playbacks cut")
+            self.pool.callbacks.log_line(f"host {self.name}: {why}, {len(standing)} playbacks cut")
         self.backlog.clear()
         for attempt in standing:
             self.finish(attempt, BINARY_ENDS[41], api.Load())
@@ -385,7 +385,7 @@
         attempt.connection = None
         if message.description is None:
             self.forget(attempt)
-            self.pool.callbacks.remark(f"host {self.name}: an answer without a description")
+            self.pool.callbacks.log_line(f"host {self.name}: an answer without a description")
             connection.write(frames.release(attempt.session))
             self.pool.callbacks.ended(
                 attempt.driver_attempt, BINARY_ENDINGS["not understood", None], api.Load()
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -226,7 +226,7 @@
         """Nothing is shown here."""
 
     def remark(self, text: str) -> None:
-        self.log.say(text)
+        self.log_line(text)
 
     def fault(self, event: object, why: Exception) -> None:
         self.log.say(f"the decisions failed at {event!r}: {type(why).__name__}: {why}", "fault")
@@ -252,6 +252,10 @@
         """See `host_interface.HostCallbacks`."""
         return self.listener.unread(one.playback)
 
+    def log_line(self, text: str) -> None:
+        """See `host_interface.HostCallbacks`."""
+        self.log.say(text)
+
     def shortage(self) -> None:
         """See `host_interface.HostCallbacks`."""
         self.listener.make_room()
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -108,7 +108,7 @@
             for line in self._standing_by(found):
                 self.listener.received(self, line)
         except Exception as why:
-            self.listener.remark(f"a connection is closed: {type(why).__name__}: {why}")
+            self.listener.log_line(f"a connection is closed: {type(why).__name__}: {why}")
             self.close("error")
         if wrong is not None:
             self.listener.counts["unreadable"] += 1
@@ -186,11 +186,11 @@
         self,
         configuration: Configuration,
         now: Callable[[], int],
-        remark: Callable[[str], None],
+        log_line: Callable[[str], None],
         most: int,
         events: EventLog,
     ) -> None:
-        self.configuration, self.now, self.remark, self._most = configuration, now, remark, most
+        self.configuration, self.now, self.log_line, self._most = configuration, now, log_line, most
         self.events = events
         self._connection_names = 0
         self.shutdown = Shutdown(configuration.abandon_times)
@@ -357,7 +357,7 @@
             wanted, sent, at = self.check(line)
         except (WrongForm, ValueError, OverflowError) as why:
             self.counts["wrong form"] += 1
-            self.remark(f"a set-up is refused: {why}")
+            self.log_line(f"a set-up is refused: {why}")
             self.events.trace("request_refused", line.id, connection=viewer.name, reason="wrong_form")
             viewer.write(lines.release(line.id, lines.NONSENSE))
             return
--- a/tests/test_node_session_ends.py
+++ b/tests/test_node_session_ends.py
@@ -187,14 +187,21 @@
     return here.host.carried[carried][1]
 
 
+async def beside_a_hung_set_up(here: Scene) -> tuple[Line, asyncio.StreamWriter]:
+    """A viewer whose session was established on the connection that now carries a set-up without an answer,
+    and that connection at the host; another one is open."""
+    own, other = await here.viewer(), await here.viewer()
+    await here.establish(own, FIRST)
+    writer = await hang(here, own, THIRD)
+    assert writer is here.host.carried[0][1]
+    here.host.does = answer
+    await here.establish(other, SECOND)
+    return own, writer
+
+
 def test_end_that_a_hung_host_writes_on_a_connection_the_gateway_retired_arrives(tmp_path: Path) -> None:
     async def work(here: Scene) -> None:
-        own, other = await here.viewer(), await here.viewer()
-        await here.establish(own, FIRST)
-        writer = await hang(here, own, THIRD)
-        assert writer is here.host.carried[0][1], "the late set-up shares the session's connection"
-        here.host.does = answer
-        await here.establish(other, SECOND)  # another connection to the host is open from now on
+        own, writer = await beside_a_hung_set_up(here)
         writer.transport.pause_reading()
         here.host.does = lambda message: b""
         while (await own.hear())["id"] != THIRD:
@@ -207,12 +214,7 @@
 
 def test_end_behind_a_message_that_stays_unfinished_arrives(tmp_path: Path) -> None:
     async def work(here: Scene) -> None:
-        own, other = await here.viewer(), await here.viewer()
-        await here.establish(own, FIRST)
-        writer = await hang(here, own, THIRD)
-        assert writer is here.host.carried[0][1], "the spoilt answer shares the session's connection"
-        here.host.does = answer
-        await here.establish(other, SECOND)
+        own, writer = await beside_a_hung_set_up(here)
         whole = answer(Frame(frames.SETUP, int(THIRD, 16), {}))
         writer.write(whole[: len(whole) // 2])
         here.host.end(FIRST)
