Half a message on a retired connection counts as a release that may be lost

A host wrote a release behind the half message of a spoilt answer, another connection had been opened just before, and the connection was retired with the half message in it; the viewer received the end 5.8 s later. Cause: a retired connection was closed without a look at what its reader held; and a half message whose bytes go on coming never counted as stuck. Change: closed with half a message it is not understood, so another connection is opened; a message may take four times the settings' time for a connection.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -248,6 +248,8 @@
         """What is out on it has ended so; what stands belongs to no connection."""
         if self.state == "closed":
             return
+        if why == "retired" and self.reader.partial:
+            why = "not understood"  # a release may lie behind what is not whole
         if why == "retired" and self._reads_on():
             self._close_for_writing()
             return
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -22,6 +22,7 @@
 # A session is over within 8 s of its end, by the protocol; its id is never used again, so a second release of
 # it is harmless.
 RELEASE_REPEATED = 8_000 * MS
+MESSAGE_PATIENCE = 4  # times the settings' time for a connection, for a message whose bytes go on coming
 REOPEN_PATIENCE = 4  # times the settings' time for a connection
 
 
@@ -481,7 +482,12 @@
     def watch(self, now: int) -> None:
         """Called now and then: what is stuck or silent is seen here."""
         for connection in list(self.connections):
-            if connection.stuck_since and now - connection.stuck_since >= self.pool.limits.connect:
+            connect = self.pool.limits.connect
+            silent = connection.stuck_since and now - connection.stuck_since >= connect
+            endless = (
+                connection.partial_since and now - connection.partial_since >= MESSAGE_PATIENCE * connect
+            )
+            if silent or endless:
                 connection.close("not understood")
         for connection in [each for each in self.connections if each.state == "leaving"]:
             connection.retire()
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -447,6 +447,27 @@
     run(work, tmp_path, 1)
 
 
+def test_an_end_behind_half_a_message_on_a_connection_that_is_retired_arrives(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        at = known(one, host)
+        at.dial()
+        await until(lambda: len(at.connections) == len(host.links) == 2)
+        (other,) = [each for each in at.connections if not each.sessions]
+        whole = answer(Frame(frames.SETUP, 7, {}))
+        for writer in host.links:
+            if writer is not host.carried[0][1]:
+                writer.write(whole[: len(whole) // 2] + release(SESSION, 16))
+        host.to_repeat.append(release(SESSION, 16))
+        await until(lambda: other.reader.partial)
+        other.retire()
+        began = time.monotonic()
+        assert (await line.hear())["id"] == ID
+        assert time.monotonic() - began <= 1.0
+
+    run(work, tmp_path, 1)
+
+
 def test_an_end_that_crosses_the_gateways_close_of_an_idle_connection_arrives(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
