A connection that was retired is kept until the host has written on it since

A host hung for 1.5 s; a set-up ran out of time on a connection that had been used before, it was retired and closed, and on waking the host wrote its releases there, where they were lost until the next connection 6.5 s later. Cause: a connection counted as taken by its host once anything had ever been received on it; a host that hangs since then may still choose it, and through a relay the close for writing ends both directions. Change: what counts is whether the host has written since the connection was retired. Measured: test_an_end_that_a_hung_host_writes_late_on_a_retired_connection_arrives fails without it; core, crossings, ends and loopback 124 passed.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -132,7 +132,7 @@
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = host.pool.now()
-        self.received_any = False  # whether the host has written on it
+        self.received_any = False  # whether the host has written on it, since it was retired
         self.used = host.pool.now()  # when something last passed on it
         self.carried = CarriedAttempts()
         self.sent_lately: deque[SentLately] = deque()  # what concerned established sessions
@@ -297,5 +297,6 @@
         """It carries nothing new, and is closed once nothing is out on it and no release is expected."""
         if self.state == "open":
             self.state = "leaving"
+            self.received_any = False  # a host that hangs may take this connection for its next release
         if self.state == "leaving" and not (self.out or self.probes or self.host.expects_end_on(self)):
             self.close("retired")
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -447,6 +447,31 @@
     run(work, tmp_path, 1)
 
 
+def test_an_end_that_a_hung_host_writes_late_on_a_retired_connection_arrives(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        at, connect = known(one, host), SETTINGS["allowed"]["connectTimeoutMs"] / 1000
+        (origin,) = at.connections
+        at.dial()
+        await until(lambda: len(at.connections) == len(host.links) == 2)
+        (second,) = [each for each in at.connections if each is not origin]
+        at._probe_on(second, 7, one.program.now())
+        await until(lambda: not second.probes)
+        host.carried[0][1].transport.abort()  # its session's own connection
+        await until(lambda: origin.state == "closed" and len(at.connections) == 2)
+        hung = host.links[0]
+        hung.transport.pause_reading()
+        at._probe_on(second, 8, one.program.now())
+        await until(lambda: second.state != "open")
+        await asyncio.sleep(2 * connect)
+        began = time.monotonic()
+        hung.write(release(SESSION, 16))
+        assert (await line.hear())["id"] == ID
+        assert time.monotonic() - began <= 1.0
+
+    run(work, tmp_path, 1)
+
+
 def test_an_end_behind_half_a_message_on_a_connection_that_is_retired_arrives(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
