Log: releases that came elsewhere than on their session's connection, and those ignored

What callers saw: viewers that never received their session's end; no line said whether the gateway had received the host's release. Cause of the gap: two ways of ignoring a release left no record (a session that is not known, an attempt out on another connection), and a release on another connection than its session's own left none either.

--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -408,33 +408,52 @@
     def _released(self, connection: HostConnection, message: Frame) -> None:
         attempt = self.attempts.get(message.session)
         if attempt is None:
+            self._ignore_release(connection, message, "unknown_session")
+        elif attempt.driver_attempt.state == "flowing":
+            self._session_released(attempt, connection, message)
+        elif attempt.connection is connection:
+            self._refused(attempt, connection, message)
+        else:
+            self._ignore_release(connection, message, "attempt_out_elsewhere")
+
+    def _session_released(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
+        # What answers an earlier attempt may come twice, late; a session that was established goes on.
+        cause = message.cause
+        refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
+        earlier = (
+            attempt.origin in self.connections
+            and connection is not attempt.origin
+            and connection.carried.may_repeat(attempt.driver_attempt.playback.number, cause)
+        )
+        if refusal or earlier:
+            self._ignore_release(connection, message, "refusal" if refusal else "earlier_attempt")
+            if not refusal:
+                self.reopen("release_ignored")
             return
-        cause, load = message.cause, message.load(self.pool.limits.report)
-        if attempt.driver_attempt.state == "flowing":
-            # What answers an earlier attempt may come twice, late; a session that was established goes on.
-            refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
-            earlier = (
-                attempt.origin in self.connections
-                and connection is not attempt.origin
-                and connection.carried.may_repeat(attempt.driver_attempt.playback.number, cause)
+        if connection is not attempt.origin:
+            self.pool.events.record(
+                "release_elsewhere",
+                session=session_name(message.session),
+                host=self.name,
+                connection=connection.name,
+                origin=attempt.origin.name if attempt.origin is not None else "",
+                origin_state=attempt.origin.state if attempt.origin is not None else "",
             )
-            if not refusal and not earlier:
-                self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
-            else:
-                self.pool.events.record(
-                    "release_ignored",
-                    session=session_name(message.session),
-                    host=self.name,
-                    connection=connection.name,
-                    cause=cause,
-                    reason="refusal" if refusal else "earlier_attempt",
-                )
-                if earlier and not refusal:
-                    self.reopen("release_ignored")
-        elif attempt.connection is connection:
-            connection.carried.refused(attempt.driver_attempt.playback.number, cause)
-            none = BINARY_ENDINGS["release", None]
-            self.finish(attempt, BINARY_ENDINGS.get(("release", cause), none), load)
+        load = message.load(self.pool.limits.report)
+        self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
+
+    def _refused(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
+        connection.carried.refused(attempt.driver_attempt.playback.number, message.cause)
+        ending = BINARY_ENDINGS.get(("release", message.cause), BINARY_ENDINGS["release", None])
+        self.finish(attempt, ending, message.load(self.pool.limits.report))
+
+    def _ignore_release(self, connection: HostConnection, message: Frame, reason: str) -> None:
+        session = session_name(message.session)
+        fields = {"host": self.name, "connection": connection.name, "cause": message.cause, "reason": reason}
+        if reason == "unknown_session":  # a host repeats releases
+            self.pool.events.trace("release_ignored", session, **fields)
+        else:
+            self.pool.events.record("release_ignored", session=session, **fields)
 
     def _noted(self, connection: HostConnection, message: Frame) -> None:
         attempt, note = self.attempts.get(message.session), message.note
