--- a/burlmast/trials/cells.py
+++ b/burlmast/trials/cells.py
@@ -112,8 +112,10 @@
 
 
 def _host_never_learns(cell: Cell) -> bool:
-    for_good = cell.duration == FOR_GOOD and cell.fate in (Fate.HELD, Fate.CLIENT_FIRST)
-    return for_good and cell.host is HostKind.REPEATS_LOST and cell.connections is not Connections.ALL
+    if cell.host is HostKind.REPEATS or cell.duration != FOR_GOOD:
+        return False
+    held = cell.fate is Fate.HELD and cell.connections is not Connections.ALL
+    return held or cell.fate is Fate.CLIENT_FIRST
 
 
 def _unreachable_for_good(cell: Cell) -> bool:
@@ -151,7 +153,7 @@
         "this message is not a host's release",
     ),
     (
-        lambda cell: cell.message is Message.HOST_RELEASE and _host_never_learns(cell),
+        _host_never_learns,
         "a host that repeats what it wrote on lost connections never learns that this one is lost",
     ),
     (
--- a/burlmast/trials/judge.py
+++ b/burlmast/trials/judge.py
@@ -75,9 +75,10 @@
     if RELEASE_DESTROYED.applies(cell, records):
         since = max(session.ended, records.passes_again if cell.connections is Connections.ALL else 0.0)
         return since + UNSENT_RELEASED_WITHIN + SLACK + records.lag
-    if cell.fate is Fate.DELAYED and cell.message is not Message.VIEWER_END:
+    no_viewers = NO_VIEWER_CONNECTION.applies(cell, records)
+    if cell.fate is Fate.DELAYED and (cell.message is not Message.VIEWER_END or no_viewers):
         prompt += cell.duration
-    late = PASSES_LATE.applies(cell, records) or NO_VIEWER_CONNECTION.applies(cell, records)
+    late = PASSES_LATE.applies(cell, records) or no_viewers
     if late:
         return max(prompt, records.passes_again + RELEASED_WITHIN + SLACK + records.lag)
     return prompt
