An end that nobody acknowledges goes round the viewers' connections again until it is

What callers saw: viewers whose connections all lost what was sent for over a second never received their session's end, though all of them passed again; behind a gateway that had been stopped for half a second, an end on a dead connection came 1.2 s after its host's release. Cause: an end was written once on each connection and never there again; the time until the first substitute counted from when the gateway handled the release, not from when it may have come. Change: once each connection has carried it, the one whose turn is longest ago, at least 0.5 s after it last did, until it is acknowledged or 10 s are over; the first substitute's time counts from before a stop of the process. Tests: two said that an end goes to each connection once and no more, which is the fault; they now hold that it goes round in turn, never twice within 0.5 s on one connection. The viewer of a test of a silent host acknowledges now, and its 'each once' stands.

--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -2,7 +2,7 @@
 
 A session belongs to no connection: its end may be written on any of them, and a connection that takes bytes
 need not be read by anyone. A viewer that has received an end says `released`; until it does, the end is sent
-on one connection after another, once on each, and at once when the connection that carried it last is lost.
+on one connection after another, in turn, and at once when the connection that carried it last is lost.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 # An end may overtake its session's answer on another connection; so long, while the answer may be held back.
 RESEND_AFTER_UNPROVEN = 700 * MS
 ANSWER_DELIVERED = 2_000 * MS  # after which an answer counts as delivered
-SLOW_RESEND_AFTER = 500 * MS  # once that second is over
+SLOW_RESEND_AFTER = 500 * MS  # once that second is over, and on a connection that has carried it before
 PROMPT = 1_000 * MS  # from a session's end until its viewer has to be released, by the protocol
 GIVE_UP_AFTER = 10_000 * MS  # an end that could not be sent is due within 8 s, by the protocol
 UNACKNOWLEDGED_KEPT = (
@@ -71,6 +71,10 @@
     due: int  # when it is sent, again or for the first time
     sends: list[Send] = field(default_factory=list)
 
+    def carried(self, connection: EndConnection) -> int | None:
+        """When it was written on this connection last."""
+        return next((send.at for send in reversed(self.sends) if send.connection is connection), None)
+
     @property
     def last_connection(self) -> EndConnection | None:
         """The connection that it was written on last."""
@@ -111,10 +115,12 @@
         preferred: EndConnection | None,
         answered_at: int = 0,
         wants_acknowledgement: bool = True,
+        ended_at: int = 0,
     ) -> None:
-        """Send the end of a session until it is acknowledged."""
+        """Send the end of a session until it is acknowledged; `ended_at`: its earliest time, 0 for now."""
         now = self._now()
-        end = PendingEnd(session, message, preferred, answered_at, wants_acknowledgement, now, now)
+        ended_at = ended_at or now
+        end = PendingEnd(session, message, preferred, answered_at, wants_acknowledgement, ended_at, now)
         self.pending[session] = end
         self._send(end, "ended")
         self._arm()
@@ -194,15 +200,22 @@
         connection.write(end.message)
 
     def _choose(self, end: PendingEnd) -> EndConnection | None:
-        """The connection that asked, else the one that is most likely read by whom the session belongs to."""
+        """The connection that asked, else the one that is most likely read by whom the session belongs to;
+        once each has carried it, the one whose turn is longest ago: what it carried may have been lost."""
         if not end.sends and end.preferred is not None and end.preferred.usable:
             return end.preferred
-        untried = [
-            connection
-            for connection in self._connections()
-            if connection.usable and end.sent_on(connection) is None
-        ]
-        return max(untried, key=_likely_read, default=None)
+        usable = [connection for connection in self._connections() if connection.usable]
+        last_sent = {connection: end.carried(connection) for connection in usable}
+        untried = [connection for connection, at in last_sent.items() if at is None]
+        if untried or not end.wants_acknowledgement:
+            return max(untried, key=_likely_read, default=None)
+        now = self._now()
+        waiting = {
+            connection: at
+            for connection, at in last_sent.items()
+            if at is not None and now - at >= SLOW_RESEND_AFTER
+        }
+        return min(waiting, key=lambda connection: waiting[connection], default=None)
 
     def _log_send(self, end: PendingEnd, connection: EndConnection, reason: str) -> None:
         fields = {"connection": connection.name, "sends": len(end.sends), "reason": reason}
@@ -217,7 +230,9 @@
         return UNACKNOWLEDGED_KEPT
     if now - end.ended_at >= PROMPT:
         return SLOW_RESEND_AFTER
-    return RESEND_AFTER if len(end.sends) > 1 or end.answer_delivered() else RESEND_AFTER_UNPROVEN
+    if len(end.sends) > 1 or end.answer_delivered():
+        return RESEND_AFTER
+    return max(RESEND_AFTER, end.ended_at + RESEND_AFTER_UNPROVEN - now)
 
 
 def _likely_read(connection: EndConnection) -> tuple[int, bool, bool, bool, int]:
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -505,7 +505,8 @@
         connection, answered_at = (
             (view.viewer, view.answered_at) if isinstance(view, SessionView) else (None, 0)
         )
-        self.ends.send(playback.public, message, connection, answered_at, wants_acknowledgement)
+        ended_at = self.waiting_since(self.now())
+        self.ends.send(playback.public, message, connection, answered_at, wants_acknowledgement, ended_at)
 
     def _forget(self, playback: Playback) -> None:
         if self.known.get(playback.public) is playback:
