A host's connection that carries nothing while others do is replaced; sessions are verified

A release written on a connection that passes nothing any more never reached the viewer, with no line in the log. Cause: liveness was judged by host: any byte on any connection, or a connection that merely came up, stood for all of them. A connection whose set-up ran out of time was kept for writing, so its host went on using it; after a loss another was opened once, perhaps before the release was written on the dead one. The release that a gateway sends was written once. Set-ups that timed out at a hung host left connections until the limit, and then none could be opened. Change: burlmast/liveness.py decides (listed under policy), node/host_checks.py carries out. A connection behind the others by 2.5 s, or 0.25 s once something went unanswered, is closed for writing, which its host learns, and read on for up to 8 s; a session whose own connection was lost has another opened every 2 s, any session after trouble every 4 s within a tenth of the set-ups; a silent host is checked by a ping and is gone after two unanswered; a gateway's release is repeated; four connections at most are kept for a host that hangs.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from burlmast.edge.driver import Try
+from burlmast.liveness import VerificationBudget
 from burlmast.node.descriptors import SHORTAGE
 from burlmast.node.eventlog import EventLog
 from burlmast.node.frames import Frame, FrameReader
@@ -17,7 +18,9 @@
 MS = 1_000_000
 # A release behind an unfinished message has to reach its viewer within 1 s, by the protocol.
 PARTIAL_TOLERATED = 250 * MS
-CLOSING_MOST = 4  # connections that are read on though closed: each holds a descriptor
+CLOSING_LEAST = 4  # connections that may be read on though closed: each holds a descriptor
+CLOSING_PART = 8  # of the descriptors for hosts, for the same
+READ_ON = 8_000 * MS  # a release that is held back is due within 8 s of its session's end, by the protocol
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
 
@@ -27,6 +30,7 @@
     limits: HostPoolLimits
     callbacks: HostCallbacks
     events: EventLog
+    verification: VerificationBudget
     opened: int  # connections to all hosts that hold a descriptor
     closing: int  # of these, closed for writing and still read
 
@@ -49,6 +53,9 @@
     def next_connection_name(self) -> str:
         """The name of a connection in the log."""
 
+    def next_probe(self) -> int:
+        """The id of a probe or check."""
+
 
 class Host(Protocol):
     """A host as its connections and attempts see it."""
@@ -74,12 +81,15 @@
     def short_of_descriptors(self) -> None:
         """It could not be tried."""
 
-    def unreachable(self, refused: bool) -> None:
+    def unreachable(self, refused: bool, for_check: bool = False) -> None:
         """It did not come up."""
 
     def reopen(self, reason: str) -> None:
         """A release may have been lost on it."""
 
+    def suspect(self, connection: HostConnection) -> None:
+        """Something went unanswered on it."""
+
     def has_sessions(self) -> bool:
         """Whether a session is established at the host."""
 
@@ -89,8 +99,8 @@
     def give_up(self, attempt: HostAttempt) -> None:
         """The driver has ended the attempt."""
 
-    def send_on_session(self, message: bytes, repeat_within: int) -> None:
-        """Send what concerns an established session, on any connection."""
+    def send_on_session(self, message: bytes, repeat_within: int) -> HostConnection | None:
+        """Send what concerns an established session, on any connection; which one, if any was open."""
 
 
 class HostAttempt:
@@ -105,6 +115,7 @@
         "origin",
         "sent",
         "session",
+        "verified_at",
         "written",
     )
 
@@ -114,13 +125,19 @@
         self.origin: HostConnection | None = None  # the connection of its set-up
         self.written = self.established = False  # its set-up was written; it has been answered
         self.description = ""
+        self.verified_at = host.pool.now()  # up to when a release that was lost would have shown
+
+    @property
+    def connection_lost_at(self) -> int:
+        """When the connection of its set-up was lost without its host's knowing; 0: it was not."""
+        return self.origin.lost_at if self.origin is not None else 0
 
 
 class HostConnection(asyncio.BufferedProtocol):
     """One connection to a host."""
 
-    def __init__(self, host: Host) -> None:
-        self.host = host
+    def __init__(self, host: Host, for_check: bool = False) -> None:
+        self.host, self.for_check = host, for_check
         self.name = host.pool.next_connection_name()
         self.reader = FrameReader()
         self.transport: asyncio.Transport | None = None
@@ -131,7 +148,11 @@
         self.state = "connecting"
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
-        self.dialled_at = host.pool.now()
+        self.dialled_at = self.received_at = host.pool.now()
+        self.suspect_since = 0  # since when something is unanswered on it; 0: nothing is
+        self.replaced = False  # whether others carry what it carried, and it closes once nothing is out
+        self.ended_by_host = False  # whether its host has closed it, and so knows that it is closed
+        self.lost_at = 0  # when it was lost, perhaps without its host's knowing
         self.received_any = False  # whether the host has written on it, since it was retired
         self.used = host.pool.now()  # when something last passed on it
         self.carried = CarriedAttempts()
@@ -159,7 +180,7 @@
         if why is not None and why.errno in SHORTAGE:
             self.host.short_of_descriptors()
         else:
-            self.host.unreachable(isinstance(why, ConnectionRefusedError))
+            self.host.unreachable(isinstance(why, ConnectionRefusedError), self.for_check)
             if why is None:
                 # The host may see it come up all the same, and repeat its releases there.
                 self.host.reopen("dial_timed_out")
@@ -180,7 +201,7 @@
         self.transport = transport
         if self.state == "connecting":
             self.state = "open"
-            self.used = self.host.pool.now()
+            self.used = self.received_at = self.host.pool.now()
             if self.timer is not None:
                 self.timer.cancel()
             self.host.connected(self)
@@ -194,7 +215,8 @@
         if self.state == "closed":
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
-        self.used = self.host.pool.now()
+        self.used = self.received_at = self.host.pool.now()
+        self.suspect_since = 0
         self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
         self._watch_partial(new=bool(found))
@@ -218,6 +240,7 @@
             self.host.reopen("partial_message")
 
     def eof_received(self) -> bool:
+        self.ended_by_host = True
         # The transport says so a turn of the loop later, and what is written until then is lost.
         self.close("retired" if self.state == "closing" else "connection lost")
         return False
@@ -253,9 +276,11 @@
         if why == "retired" and self._reads_on():
             self._close_for_writing()
             return
+        unread = why == "retired" and self.state != "closing" and not self.ended_by_host
         if self.state == "closing":
             self.host.pool.closing -= 1
         self.state = "closed"
+        self.lost_at = 0 if self.ended_by_host else self.lost_at or self.host.pool.now()
         self.host.connections.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
@@ -263,10 +288,17 @@
         if self.transport is not None:
             self.transport.abort() if why == "not understood" else self.transport.close()
         self.host.lost(self, why)
+        if unread and self.sessions:
+            self.host.reopen("closed_unread")
 
     def _reads_on(self) -> bool:
         """Whether what the host writes as this side closes has to be read."""
-        return self.usable and self.host.has_sessions() and self.host.pool.closing < CLOSING_MOST
+        return self.usable and self.host.has_sessions() and self._may_read_on()
+
+    def _may_read_on(self) -> bool:
+        """Whether there is a descriptor for one more connection that is closed and read on."""
+        pool = self.host.pool
+        return pool.closing < max(CLOSING_LEAST, pool.limits.most // CLOSING_PART)
 
     def _close_for_writing(self) -> None:
         """Read on until the host has closed its side too."""
@@ -278,7 +310,8 @@
             self.transport.write_eof()
 
     def _not_closed_by_host(self) -> None:
-        self.close("retired")
+        self.lost_at = self.host.pool.now()
+        self.timer = self.host.pool.later(READ_ON, lambda: self.close("retired"))
         self.host.reopen("not_closed_by_host")
 
     def _log_close(self, why: str) -> None:
@@ -293,10 +326,18 @@
                 connections_left=len(self.host.connections),
             )
 
+    def replace(self) -> None:
+        """Others carry what it carried: its host learns so once nothing is out on it, and says it there."""
+        self.replaced = True
+        if self.state == "open":
+            self.state = "leaving"
+        self.retire()
+
     def retire(self) -> None:
         """It carries nothing new, and is closed once nothing is out on it and no release is expected."""
         if self.state == "open":
             self.state = "leaving"
             self.received_any = False  # a host that hangs may take this connection for its next release
-        if self.state == "leaving" and not (self.out or self.probes or self.host.expects_end_on(self)):
+        expected = self.host.expects_end_on(self) and not (self.replaced and self._may_read_on())
+        if self.state == "leaving" and not (self.out or self.probes or expected):
             self.close("retired")
--- a/burlmast/node/host_interface.py
+++ b/burlmast/node/host_interface.py
@@ -26,6 +26,7 @@
     most: int  # connections to all hosts together
     streams: int  # set-ups on one connection at most
     report: dict[str, str]
+    probes: bool  # whether hosts may be probed
 
 
 class HostCallbacks(Protocol):
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -10,6 +10,7 @@
 from burlmast.api import Ending, Standing
 from burlmast.edge.driver import Try
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
+from burlmast.liveness import VerificationBudget
 from burlmast.node import frames
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_connection import HostAttempt
@@ -32,6 +33,7 @@
         self._loop = asyncio.get_running_loop()
         self.hosts: dict[int, MediaHost] = {}
         self.opened = 0
+        self.verification = VerificationBudget()
         self.closing = 0  # connections that are closed for writing and still read
         self._sessions = 0
         self._closed = False
@@ -44,6 +46,11 @@
         self._connection_names += 1
         return f"h{self._connection_names}"
 
+    def next_probe(self) -> int:
+        """The id of a probe or check."""
+        self._sessions += 1
+        return self._sessions
+
     def keep(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Run this beside the rest."""
         task = self._loop.create_task(work)
@@ -151,8 +158,7 @@
         if host is None or not host.in_service:
             self.later(0, lambda: self.callbacks.probed(number, Ending.NO_CONNECTION, 0, api.Load()))
             return
-        self._sessions += 1
-        host.probe(self._sessions)
+        host.probe(self.next_probe())
 
     def close(self) -> None:
         """Close every connection, and dial no more."""
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -3,27 +3,21 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
-from burlmast import api
+from burlmast import api, liveness
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
 from burlmast.node.frames import Frame
+from burlmast.node.host_checks import RELEASE_REPEATED, HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
 from burlmast.node.host_records import SentProbe
 
 MS = 1_000_000
-# A session that is over has to be released within 8 s of its end where nobody says so, by the protocol. A
-# host that was silent for half of that is dialled; two failures in a row, and it is gone.
-SILENT = 4_000 * MS
-GONE_AFTER = 2
-# A session is over within 8 s of its end, by the protocol; its id is never used again, so a second release of
-# it is harmless.
-RELEASE_REPEATED = 8_000 * MS
+KEPT_FOR_HUNG_HOST = 4  # connections, any of which it may take for its next release
 MESSAGE_PATIENCE = 4  # times the settings' time for a connection, for a message whose bytes go on coming
-REOPEN_PATIENCE = 4  # times the settings' time for a connection
 
 
 class MediaHost:
@@ -40,7 +34,7 @@
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
         self.last_received = pool.now()
         self.failures = 0
-        self.reopen_since = 0  # since when a connection that is newer than this is needed; 0: none is
+        self.checks = HostChecks(self)
 
     # Connections.
 
@@ -74,10 +68,10 @@
         least = min(connections, key=lambda connection: len(connection.out))
         return least if len(least.out) < self.pool.limits.streams else None
 
-    def dial(self, wait: int = 0) -> None:
+    def dial(self, wait: int = 0, for_check: bool = False) -> None:
         """Open a connection; `wait` is how long it may take to come up, 0 for the time of the settings."""
         if self.in_service:
-            connection = HostConnection(self)
+            connection = HostConnection(self, for_check)
             self.connecting[connection] = None
             self.pool.opened += 1
             connection.timer = self.pool.later(wait or self.pool.limits.connect, connection.overdue)
@@ -85,18 +79,11 @@
 
     def reopen(self, reason: str) -> None:
         """Open a connection after a release may have been lost: its host repeats it there."""
-        if not self.has_sessions():
-            return
-        if not self.reopen_since:
-            self.pool.events.record("host_reopen", host=self.name, reason=reason)
-        self.reopen_since = self.pool.now()
-        self._dial_for_reopen()
+        self.checks.reopen(reason)
 
-    def _dial_for_reopen(self) -> None:
-        if self.connecting or self.pool.opened >= self.pool.limits.most:
-            return
-        # Where others carry the requests, one that comes up late is worth waiting for.
-        self.dial(REOPEN_PATIENCE * self.pool.limits.connect if self.open_connections() else 0)
+    def suspect(self, connection: HostConnection) -> None:
+        """Something went unanswered on this connection."""
+        self.checks.suspect(connection)
 
     def dial_no_more(self) -> None:
         """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
@@ -107,10 +94,7 @@
     def connected(self, connection: HostConnection) -> None:
         self.connecting.pop(connection, None)
         self.connections[connection] = None
-        self.failures = 0
-        self.last_received = self.pool.now()
-        if connection.dialled_at >= self.reopen_since:
-            self.reopen_since = 0
+        self.checks.connected(connection)
         for message, repeat_within in self.backlog:
             connection.send_on_session(message, repeat_within)
         self.backlog.clear()
@@ -174,11 +158,12 @@
         # A machine that goes for good says nothing, and its connections stay open.
         self.cut(why)
 
-    def unreachable(self, refused: bool) -> None:
+    def unreachable(self, refused: bool, for_check: bool = False) -> None:
         """No connection came up; where it was refused the process is dead, and what stood there with it."""
         self.failures += 1
+        self.pool.verification.note_trouble(self.pool.now())
         if self.connecting:  # the others say what becomes of what waits
-            waiting = [self.waiting.pop(0)] if self.waiting else []
+            waiting = [self.waiting.pop(0)] if self.waiting and not for_check else []
         else:
             waiting, self.waiting = self.waiting, []
         for attempt in waiting:
@@ -189,20 +174,21 @@
                 self.pool.callbacks.probed(
                     self.number, Ending.NO_CONNECTION, max(0, self.pool.now() - began), api.Load()
                 )
-        silent = not self.open_connections() or self.pool.now() - self.last_received >= SILENT
+        silent = liveness.is_gone(self.pool.now(), self.last_received, self.failures)
+        lost = not self.open_connections() and self.failures >= liveness.CHECKS_FAILED
         # A host that drains refuses connections and plays on; the list says when it is gone.
-        if not self.draining and (refused or (self.failures >= GONE_AFTER and silent)):
+        if not self.draining and (refused or silent or lost):
             self.cut("refused" if refused else "silent")
 
     def cut(self, why: str) -> None:
         """What stood here is over."""
-        standing = [
-            attempt for attempt in self.attempts.values() if attempt.driver_attempt.state == "flowing"
-        ]
+        standing = list(self.established())
         if standing:
             self.pool.callbacks.log_line(f"host {self.name}: {why}, {len(standing)} playbacks cut")
         self.backlog.clear()
         for attempt in standing:
+            if why == "silent" and self.connections:
+                self._release_at_host(attempt)  # it may only hang
             self.finish(attempt, BINARY_ENDS[41], api.Load())
 
     def lost(self, connection: HostConnection, why: str) -> None:
@@ -222,6 +208,7 @@
             if self.pool.now() < sent.repeat_until:
                 self.send_on_session(sent.message, sent.repeat_until - self.pool.now())
         if why in ("connection lost", "not understood"):
+            self.pool.verification.note_trouble(self.pool.now())
             # A process that dies may also reset one connection at once and another seconds later.
             self.reopen(why.replace(" ", "_"))
         self.keep_reachable()
@@ -230,14 +217,23 @@
         """Whether the host may write a session's release on this connection and on no other that is open.
 
         What it repeats on a connection that is opened comes first there, perhaps once it hangs no longer."""
-        if connection.sessions or (self.has_sessions() and not connection.received_any):
+        if connection.sessions or (not connection.received_any and self._keeps(connection)):
             return True
         others = any(other.usable for other in self.connections if other is not connection)
         return not others and self.has_sessions()
 
+    def _keeps(self, connection: HostConnection) -> bool:
+        """Whether it is one of the few that are kept for a host that hangs."""
+        kept = [each for each in self.connections if each.state == "leaving" and not each.received_any]
+        return self.has_sessions() and connection in kept[:KEPT_FOR_HUNG_HOST]
+
+    def established(self) -> Iterator[HostAttempt]:
+        """The attempts whose sessions stand here."""
+        return (each for each in self.attempts.values() if each.driver_attempt.state == "flowing")
+
     def has_sessions(self) -> bool:
         """Whether something plays here."""
-        return any(attempt.driver_attempt.state == "flowing" for attempt in self.attempts.values())
+        return any(True for _ in self.established())
 
     def keep_reachable(self) -> None:
         """What stands here is told of on any connection: there has to be one."""
@@ -283,6 +279,7 @@
             return
         _, plan, title, description = attempt.sent
         attempt.written = True
+        self.pool.verification.earn()
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
@@ -345,8 +342,13 @@
             if late:
                 # What answers nothing may answer nothing else on that connection either.
                 connection.retire()
+                self.suspect(connection)
         elif attempt.established:
-            self.send_on_session(frames.release(attempt.session), RELEASE_REPEATED)
+            self._release_at_host(attempt)
+
+    def _release_at_host(self, attempt: HostAttempt) -> None:
+        message = frames.release(attempt.session)
+        self.checks.release_sent(message, self.send_on_session(message, RELEASE_REPEATED))
 
     def spares(self, connection: HostConnection) -> bool:
         """Whether it carries nothing, and is not the last that could tell of what stands here."""
@@ -356,8 +358,8 @@
             and not (len(self.connections) == 1 and self.has_sessions())
         )
 
-    def send_on_session(self, message: bytes, repeat_within: int) -> None:
-        """Send what concerns an established session, on any connection."""
+    def send_on_session(self, message: bytes, repeat_within: int) -> HostConnection | None:
+        """Send what concerns an established session, on any connection; which one, if any was open."""
         connections = self.open_connections() or [
             connection
             for connection in self.connections
@@ -365,10 +367,12 @@
         ]
         if connections:
             connections[0].send_on_session(message, repeat_within)
-        elif self.in_service:
+            return connections[0]
+        if self.in_service:
             self.backlog.append((message, repeat_within))
             if not self.connecting:
                 self.dial()
+        return None
 
     # Messages.
 
@@ -393,6 +397,7 @@
             )
         else:
             attempt.description, attempt.established = message.description, True
+            attempt.verified_at = self.pool.now()
             connection.sessions.add(attempt.session)
             self.pool.events.trace(
                 "session_established",
@@ -458,11 +463,14 @@
     def _noted(self, connection: HostConnection, message: Frame) -> None:
         attempt, note = self.attempts.get(message.session), message.note
         if attempt is not None and note is not None:
+            attempt.verified_at = self.pool.now()
             self.pool.callbacks.noted(attempt.driver_attempt, *note)
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
         probe = connection.probes.pop(message.session, None)
-        if probe is not None:
+        if probe is None:
+            self.checks.answered(message.session)
+        else:
             probe.timer.cancel()
             ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
             load = message.load(self.pool.limits.report)
@@ -495,6 +503,7 @@
         probe = connection.probes.pop(session, None)
         if probe is not None:
             connection.retire()
+            self.suspect(connection)
             took = max(0, self.pool.now() - probe.began)
             self.pool.callbacks.probed(self.number, Ending.TIMEOUT, took, api.Load())
 
@@ -510,16 +519,7 @@
                 connection.close("not understood")
         for connection in [each for each in self.connections if each.state == "leaving"]:
             connection.retire()
-        if not self.has_sessions():
-            self.last_received = now
-            self.reopen_since = 0
-        elif not self.connections and not self.connecting:
-            # The list may have dropped it while a connection was still hoped for.
-            self.keep_reachable()
-        elif now - self.last_received >= SILENT and not self.connecting:
-            self.dial()
-        elif self.reopen_since:
-            self._dial_for_reopen()
+        self.checks.watch(now)
         for connection in self.open_connections():
             if connection.received_any and not self.fresh(connection, now) and self.spares(connection):
                 connection.close("retired")
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -66,6 +66,7 @@
             configuration.parts.hosts,
             configuration.streams,
             configuration.report,
+            configuration.terms.allowed.probes,
         )
         events = EventLog(self.now, self.log.write)
         self.hosts = HostPool(limits, self, self.now, events)
