That a connection comes up is no sign of life for the connections beside it either

A host's link was silent for 0.6 s; a connection that came up through it counted as a sign that the host was well, the older ones were closed for it, and releases that their host wrote on them as the link passed again came 1.2 to 1.4 s late. Change: a connection is behind by what others have received in bytes; one that takes the place of the older ones does so once its host has written on it. A session whose connection was lost just now is verified after 0.6 s. A release that gives up a set-up is repeated if its connection is lost. The relay lets what was sent before a reset pass before it.

--- a/burlmast/liveness.py
+++ b/burlmast/liveness.py
@@ -18,9 +18,11 @@
 SUSPECT_BEHIND = 250 * MS  # the same, once something has gone unanswered
 SESSION_UNVERIFIED = 4_000 * MS  # since when a lost release of a session could not have shown
 SESSION_UNANCHORED = 2_000 * MS  # the same, where its own connection was lost
+JUST_UNANCHORED = 600 * MS  # the same, for a time after the loss: its host may not know of it yet
+JUST_UNANCHORED_FOR = 2_500 * MS
 UNANCHORED_FOR = 8_000 * MS  # how long the loss of a connection hastens checks
 TROUBLE_REMEMBERED = 30_000 * MS
-CHECK_AGAIN = 1_000 * MS  # between checks of one host
+SUSPECT_AGAIN = 1_000 * MS  # between checks of a host whose connections are suspect
 
 
 def is_behind(received: int, suspect_since: int, received_elsewhere: int) -> bool:
@@ -34,9 +36,9 @@
     return received_elsewhere - received >= CONNECTION_BEHIND
 
 
-def is_silent(now: int, last_received: int, last_checked: int) -> bool:
+def is_silent(now: int, last_received: int) -> bool:
     """Whether a host has to be checked."""
-    return now - last_received >= HOST_SILENT and now - last_checked >= CHECK_AGAIN
+    return now - last_received >= HOST_SILENT
 
 
 def is_gone(now: int, last_received: int, failed_checks: int) -> bool:
@@ -46,8 +48,10 @@
 
 def verification_due(now: int, verified_at: int, connection_lost_at: int) -> bool:
     """Whether a release may have been lost unseen; `connection_lost_at` is 0 while its connection stands."""
-    unanchored = connection_lost_at > 0 and now - connection_lost_at < UNANCHORED_FOR
-    return now - verified_at >= (SESSION_UNANCHORED if unanchored else SESSION_UNVERIFIED)
+    lost_for = now - connection_lost_at if connection_lost_at else UNANCHORED_FOR
+    if lost_for < JUST_UNANCHORED_FOR:
+        return now - verified_at >= JUST_UNANCHORED
+    return now - verified_at >= (SESSION_UNANCHORED if lost_for < UNANCHORED_FOR else SESSION_UNVERIFIED)
 
 
 class VerificationBudget:
--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -61,8 +61,11 @@
 
     # New connections.
 
-    def reopen(self, reason: str, replaces: bool = False, pings: bool = False) -> None:
-        """Open a connection after a release may have been lost: its host repeats it there."""
+    def reopen(self, reason: str, replaces: bool = False, pings: bool = False, patient: bool = True) -> None:
+        """Open a connection after a release may have been lost: its host repeats it there.
+
+        `replaces`: it takes the place of the older ones; `pings`: it carries a check; `patient`: it may come
+        up late where others carry the requests."""
         if not any(True for _ in self.host.established()):
             return
         if not self.reopen_since:
@@ -70,14 +73,13 @@
         self.reopen_since = self.host.pool.now()
         self._replaces |= replaces
         self._pings |= pings
-        self._dial()
+        self._dial(patient)
 
-    def _dial(self) -> None:
+    def _dial(self, patient: bool = True) -> None:
         pool = self.host.pool
         if self.host.connecting or not pool.room():
             return
-        # Where others carry the requests, one that comes up late is worth waiting for.
-        late = REOPEN_PATIENCE * pool.limits.connect if self.host.open_connections() else 0
+        late = REOPEN_PATIENCE * pool.limits.connect if patient and self.host.open_connections() else 0
         self.host.dial(late, for_check=True)
 
     def connected(self, connection: HostConnection) -> None:
@@ -95,9 +97,14 @@
         replaces, self._replaces = self._replaces, False
         if pings:
             self._ping(connection)
-        if replaces:
+        connection.replaces_others = replaces
+
+    def received(self, connection: HostConnection) -> None:
+        """A host has written on a connection."""
+        if connection.replaces_others:
+            connection.replaces_others = False
             for other in list(self.host.connections):
-                if other is not connection and other.sessions:
+                if other.sessions and other.dialled_at < connection.dialled_at:
                     other.replace()
 
     # Checks.
@@ -107,13 +114,14 @@
         now = self.host.pool.now()
         connection.suspect_since = connection.suspect_since or now
         self.host.pool.verification.note_trouble(now)
-        if connection.sessions and now - self._checked_at >= liveness.CHECK_AGAIN:
+        if connection.sessions and now - self._checked_at >= liveness.SUSPECT_AGAIN:
             self._checked_at = now
             self.reopen("unanswered", pings=True)
 
     def _ping(self, connection: HostConnection) -> None:
         pool = self.host.pool
         if not pool.limits.probes:
+            self.host.last_received = pool.now()  # that it takes a connection has to do for a sign of life
             return
         session = pool.next_probe()
         self._replies[session] = pool.later(liveness.CHECK_REPLY, lambda: self._not_answered(session))
@@ -149,9 +157,8 @@
         if not self.host.connections and not self.host.connecting:
             # The list may have dropped it while a connection was still hoped for.
             self.host.keep_reachable()
-        elif liveness.is_silent(now, self.host.last_received, self._checked_at):
-            self._checked_at = now
-            self.reopen("silent", replaces=True, pings=True)
+        elif liveness.is_silent(now, self.host.last_received) and not self._replies:
+            self.reopen("silent", replaces=True, pings=True, patient=False)
         elif self.reopen_since:
             self._dial()
         else:
@@ -159,7 +166,7 @@
 
     def _close_those_behind(self) -> None:
         for connection in [each for each in self.host.connections if each.sessions]:
-            others = [other.received_at for other in self.host.connections if other is not connection]
+            others = [other.heard_at for other in self.host.connections if other is not connection]
             if liveness.is_behind(connection.received_at, connection.suspect_since, max(others, default=0)):
                 self.host.pool.events.record(
                     "host_connection_behind",
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -149,6 +149,10 @@
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = self.received_at = host.pool.now()
+        self.heard_at = 0  # when its host last wrote on it; 0: never. That it came up proves nothing
+        self.replaces_others = (
+            False  # whether it takes the place of the older ones once its host writes on it
+        )
         self.suspect_since = 0  # since when something is unanswered on it; 0: nothing is
         self.replaced = False  # whether others carry what it carried, and it closes once nothing is out
         self.ended_by_host = False  # whether its host has closed it, and so knows that it is closed
@@ -215,7 +219,7 @@
         if self.state == "closed":
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
-        self.used = self.received_at = self.host.pool.now()
+        self.used = self.received_at = self.heard_at = self.host.pool.now()
         self.suspect_since = 0
         self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
@@ -259,12 +263,12 @@
             self.used = self.host.pool.now()
             self.transport.write(data)
 
-    def send_on_session(self, message: bytes, repeat_within: int) -> None:
-        """Write what concerns an established session; if the connection is lost by then, elsewhere too."""
+    def send_on_session(self, message: bytes, repeat_within: int, gives_up: int = 0) -> None:
+        """Write what concerns a session; if the connection is lost by then, elsewhere too."""
         now = self.host.pool.now()
         while self.sent_lately and self.sent_lately[0].repeat_until <= now:
             self.sent_lately.popleft()
-        self.sent_lately.append(SentLately(message, now + repeat_within))
+        self.sent_lately.append(SentLately(message, now + repeat_within, gives_up))
         self.write(message)
 
     def close(self, why: str) -> None:
--- a/burlmast/node/host_records.py
+++ b/burlmast/node/host_records.py
@@ -11,10 +11,13 @@
 
 
 class SentLately(NamedTuple):
-    """A message on an established session that a lost connection may not have delivered."""
+    """A message that a lost connection may not have delivered."""
 
     message: bytes
     repeat_until: int  # nanoseconds
+    gives_up: int = (
+        0  # the session whose set-up it gives up: not repeated once it is set up there again; or 0
+    )
 
 
 class SentProbe(NamedTuple):
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -205,7 +205,7 @@
             self.pool.callbacks.probed(self.number, Ending.BROKEN, took, api.Load())
         lately, connection.sent_lately = connection.sent_lately, deque()
         for sent in lately if why == "connection lost" else ():
-            if self.pool.now() < sent.repeat_until:
+            if self.pool.now() < sent.repeat_until and sent.gives_up not in self.attempts:
                 self.send_on_session(sent.message, sent.repeat_until - self.pool.now())
         if why in ("connection lost", "not understood"):
             self.pool.verification.note_trouble(self.pool.now())
@@ -338,7 +338,8 @@
         late = self.pool.now() >= attempt.driver_attempt.due
         self.forget(attempt)
         if connection is not None and attempt.written:
-            connection.write(frames.release(attempt.session))
+            message = frames.release(attempt.session)
+            connection.send_on_session(message, RELEASE_REPEATED, gives_up=attempt.session)
             if late:
                 # What answers nothing may answer nothing else on that connection either.
                 connection.retire()
@@ -379,6 +380,7 @@
     def received(self, connection: HostConnection, message: Frame) -> None:
         self.last_received = self.pool.now()
         self.failures = 0
+        self.checks.received(connection)
         found = HANDLERS.get(message.kind)
         if found is not None:
             found(self, connection, message)
--- a/burlmast/standin/faultlink.py
+++ b/burlmast/standin/faultlink.py
@@ -72,6 +72,7 @@
             Direction.DOWN: deque[tuple[float, bytes]](),
         }
         self._half_closed: set[Direction] = set()
+        self._reset: set[Direction] = set()
 
     @property
     def client_port(self) -> int:
@@ -157,10 +158,10 @@
         if other.transport is None or rule.drops or rule.holds:
             return
         if reset:
-            other.transport.abort()
-        else:
-            self._half_closed.add(side.direction)
-            self._pump(side.direction)
+            self._reset.add(side.direction)
+        # What was sent before passes before, however late.
+        self._half_closed.add(side.direction)
+        self._pump(side.direction)
 
     def _pump(self, direction: Direction) -> None:
         held, receiver = self._held[direction], self._receiver(direction)
@@ -178,6 +179,9 @@
             self._end(direction, receiver)
 
     def _end(self, direction: Direction, receiver: asyncio.Transport) -> None:
+        if direction in self._reset:
+            receiver.abort()
+            return
         sender = (self.client_side if direction is Direction.UP else self.target_side).transport
         if sender is None or sender.is_closing():
             receiver.close()
--- a/burlmast/trials/cells.py
+++ b/burlmast/trials/cells.py
@@ -139,6 +139,10 @@
         lambda cell: cell.company is Company.ALONE and cell.connections is Connections.OTHER,
         "there is no other connection",
     ),
+    (
+        lambda cell: cell.message not in ESTABLISHED and cell.connections is Connections.OTHER,
+        "before its answer a session has no connection of its own to which others are others",
+    ),
     (
         lambda cell: cell.around is Around.HANDED_OVER and cell.connections is not Connections.ALL,
         "a session that was handed over has no connection of its own",
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -8,6 +8,8 @@
 from burlmast.liveness import (
     CONNECTION_BEHIND,
     HOST_SILENT,
+    JUST_UNANCHORED,
+    JUST_UNANCHORED_FOR,
     SESSION_UNANCHORED,
     SESSION_UNVERIFIED,
     SUSPECT_BEHIND,
@@ -48,7 +50,11 @@
 def test_a_session_whose_connection_was_lost_is_verified_sooner_and_for_a_time() -> None:
     assert not liveness.verification_due(AT + SESSION_UNVERIFIED - 1, AT, 0)
     assert liveness.verification_due(AT + SESSION_UNVERIFIED, AT, 0)
-    assert liveness.verification_due(AT + SESSION_UNANCHORED, AT, AT)
+    assert not liveness.verification_due(AT + JUST_UNANCHORED - 1, AT, AT)
+    assert liveness.verification_due(AT + JUST_UNANCHORED, AT, AT)
+    later = AT + JUST_UNANCHORED_FOR
+    assert not liveness.verification_due(later, later - JUST_UNANCHORED, AT)
+    assert liveness.verification_due(later, later - SESSION_UNANCHORED, AT)
     late = AT + UNANCHORED_FOR
     assert not liveness.verification_due(late, late - SESSION_UNANCHORED, AT)
 
