A reset that answers the close of a connection to a host is no loss

Change: whichever way a host ends a connection that this side has closed for writing, it knows. A connection that left something unanswered has another opened, without a ping.

--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -116,7 +116,7 @@
         self.host.pool.verification.note_trouble(now)
         if connection.sessions and now - self._checked_at >= liveness.SUSPECT_AGAIN:
             self._checked_at = now
-            self.reopen("unanswered", pings=True)
+            self.reopen("unanswered")
 
     def _ping(self, connection: HostConnection) -> None:
         pool = self.host.pool
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -250,7 +250,9 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.close("retired" if self.state == "closing" and exc is None else "connection lost")
+        # A host may answer this side's close by a reset; either way it knows that the connection is closed.
+        self.ended_by_host |= self.state == "closing"
+        self.close("retired" if self.state == "closing" else "connection lost")
 
     @property
     def usable(self) -> bool:
