--- a/burlmast/node/acceptor.py
+++ b/burlmast/node/acceptor.py
@@ -6,7 +6,8 @@
 import socket
 
 from burlmast.node.descriptors import BATCH, SHORTAGE
-from burlmast.node.viewers import SWEEP, ViewerConnection, ViewerListener
+from burlmast.node.viewer_connection import SWEEP, ViewerConnection
+from burlmast.node.viewers import ViewerListener
 
 BACKLOG = 1024  # that wait to be accepted
 
--- a/tests/test_node_unplayed.py
+++ b/tests/test_node_unplayed.py
@@ -35,7 +35,7 @@
 from burlmast.node import frames
 from burlmast.node.configuration import read
 from burlmast.node.program import Program
-from burlmast.node.viewers import UNSOUND_FOR, ViewerConnection
+from burlmast.node.viewer_connection import UNSOUND_FOR, ViewerConnection
 
 OTHER = "00000000000000aa"
 # So long that a stall of this machine is no time-out of an attempt.
