--- a/burlmast/trials/play.py
+++ b/burlmast/trials/play.py
@@ -192,11 +192,18 @@
         self.process.kill()
         self.process.wait()
         gateway.target = ("127.0.0.1", await self._start_gateway())
-        await self._until(lambda: self.front.connections, 5.0)
-        self._own = self.front.connections[0]
+        await self._until(self._connections_up, 5.0)
+        self._own = self._connections_up()[0]
         self.front.ask(self._own, self.records.struck, DEADLINE, at=HOST)
         await asyncio.sleep(0.3)
 
+    def _connections_up(self) -> list[ViewerConnection]:
+        """The front's connections that have reached the gateway."""
+        reached = {relayed.client_port for relayed in self.front.link.connections if relayed.up}
+        return [
+            one for one in self.front.connections if not one.transport.is_closing() and one.port in reached
+        ]
+
     # The fault.
 
     async def _strike_and_act(self) -> None:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -81,6 +81,15 @@
     assert not broken(tmp_path, chosen)
 
 
+def test_end_of_a_session_that_was_handed_over_arrives_though_its_hosts_connections_end_late(
+    tmp_path: Path,
+) -> None:
+    chosen = cell(
+        Message.HOST_RELEASE, Connections.ALL, Company.BUSY, Fate.CLIENT_FIRST, 1.5, around=Around.HANDED_OVER
+    )
+    assert not broken(tmp_path, chosen)
+
+
 def test_sessions_of_a_host_that_takes_connections_and_says_nothing_are_released(tmp_path: Path) -> None:
     chosen = cell(Message.HOST_RELEASE, Connections.ALL, Company.BESIDE, Fate.DROPPED, FOR_GOOD)
     assert not broken(tmp_path, chosen)
