--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -147,7 +147,7 @@
     def standing(self, now: int) -> int:
         """Who goes first where room is short: the silent, who asked once, who has just come, the others.
 
-        Danger: who has just come and not asked yet looks like the silent, and would never get in."""
+        Who has just come and not asked yet looks like the silent, and would otherwise never get in."""
         if not self.sound:
             return 0 if now - self.began >= SWEEP else 2
         return 1 if self.asked <= 1 else 3
