Sessions have a lease: confirmed by evidence within 7.3 s, or ended towards host and viewer

Cause: no mechanism bounded it.

burlmast/lease.py (pure, a transition table): per host the connections that it may hold for open, per session up to when an end would have been received: bytes on its own connection, or on all that may carry it where its own is closed as its host knows. A connection that is quiet for 4 s is checked; a new one lets a host repeat what it wrote every 6 s; connections are replaced after 20 s, after 3 s where there was trouble or eight set-ups share the handshake. What is not confirmed for 7.3 s is ended (8 s by the protocol), recorded as session_lease_expired. The budget, the condition of trouble elsewhere, verification_due and replaces_others go, and their tests with them: the new ones are as strict and in tests/test_lease.py. A second unanswered check within one reply's time counts once. A refused dial cuts sessions only where a connection was lost: a host may drain before the list says so.

One test of a hung host now wants its session released within 8.05 s instead of kept: by then its release may lie unread at the host.

--- a/burlmast/liveness.py
+++ b/burlmast/liveness.py
@@ -16,12 +16,6 @@
 CHECKS_FAILED = 2  # in a row, and the host is gone
 CONNECTION_BEHIND = 2_500 * MS  # by which others may be ahead in what was received
 SUSPECT_BEHIND = 250 * MS  # the same, once something has gone unanswered
-SESSION_UNVERIFIED = 4_000 * MS  # since when a lost release of a session could not have shown
-SESSION_UNANCHORED = 2_000 * MS  # the same, where its own connection was lost
-JUST_UNANCHORED = 600 * MS  # the same, for a time after the loss: its host may not know of it yet
-JUST_UNANCHORED_FOR = 2_500 * MS
-UNANCHORED_FOR = 8_000 * MS  # how long the loss of a connection hastens checks
-TROUBLE_REMEMBERED = 30_000 * MS
 SUSPECT_AGAIN = 1_000 * MS  # between checks of a host whose connections are suspect
 
 
@@ -44,45 +38,3 @@
 def is_gone(now: int, last_received: int, failed_checks: int) -> bool:
     """Whether what stands at a host that is silent is over."""
     return failed_checks >= CHECKS_FAILED and now - last_received >= HOST_SILENT
-
-
-def verification_due(now: int, verified_at: int, connection_lost_at: int) -> bool:
-    """Whether a release may have been lost unseen; `connection_lost_at` is 0 while its connection stands."""
-    lost_for = now - connection_lost_at if connection_lost_at else UNANCHORED_FOR
-    if lost_for < JUST_UNANCHORED_FOR:
-        return now - verified_at >= JUST_UNANCHORED
-    return now - verified_at >= (SESSION_UNANCHORED if lost_for < UNANCHORED_FOR else SESSION_UNVERIFIED)
-
-
-class VerificationBudget:
-    """How many connections may be opened for sessions whose own connection shows no fault.
-
-    A handshake costs its host: they are a tenth of the set-ups, and none while nothing fails anywhere.
-    """
-
-    EARNED_BY_SET_UP = 0.1
-    MOST = 3.0
-
-    def __init__(self) -> None:
-        self._tokens = self.MOST
-        self._trouble_at: int | None = None
-
-    def earn(self) -> None:
-        """A set-up was sent."""
-        self._tokens = min(self.MOST, self._tokens + self.EARNED_BY_SET_UP)
-
-    def note_trouble(self, now: int) -> None:
-        """A connection was lost, or something went unanswered, at whichever host."""
-        self._trouble_at = now
-
-    def spend(self, now: int) -> bool:
-        """Whether a connection may be opened; if so, it is counted."""
-        troubled = self._trouble_at is not None and now - self._trouble_at < TROUBLE_REMEMBERED
-        return troubled and self.spend_always()
-
-    def spend_always(self) -> bool:
-        """The same, though nothing fails elsewhere."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -8,24 +8,35 @@
 import asyncio
 from collections.abc import Iterable
 from functools import partial
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-from burlmast import liveness
+from burlmast import lease, liveness
 from burlmast.node import frames
-from burlmast.node.eventlog import session_name
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
 
+UNUSED_FOR = 2_000 * liveness.MS
+STOPPED = 1_000 * liveness.MS  # between two calls of `watch`, which are regular: the process was stopped
+READ_AFTER_STOP = 500 * liveness.MS  # for what has come in the meantime to be read
+REFUSAL_REMEMBERED = 10_000 * liveness.MS  # how long a host that refused a connection may be draining
 REOPEN_PATIENCE = 4  # times the settings' time for a connection, where others carry the requests
 RELEASE_REPEATED = 8_000 * liveness.MS  # how long the release that a gateway sends may be repeated
 RELEASE_REPEAT_AFTER = tuple(after * liveness.MS for after in (300, 1_000, 2_500, 6_000))
 
 
+class SentCheck(NamedTuple):
+    """A check on its way."""
+
+    connection: HostConnection
+    timer: asyncio.TimerHandle
+
+
 class CheckedHost(Protocol):
     """A host as its checks see it."""
 
     name: str
     pool: Pool
     draining: bool
+    lease: lease.HostLease
     last_received: int
     failures: int
     connections: dict[HostConnection, None]
@@ -46,6 +57,9 @@
     def cut(self, why: str) -> None:
         """What stands there is over."""
 
+    def end_unconfirmed(self, attempt: HostAttempt) -> None:
+        """A session whose release may have been lost is ended, towards its host and its viewer."""
+
 
 class HostChecks:
     """The checks of one host."""
@@ -53,25 +67,25 @@
     def __init__(self, host: CheckedHost) -> None:
         self.host = host
         self.reopen_since = 0  # since when a connection that is newer than this is needed; 0: none is
-        self._replaces = False  # whether that connection takes the place of the older ones
-        self._pings = False  # whether it carries a check
+        self._pings = False  # whether that connection carries a check
+        self._watched_at = self._resumed_at = 0
+        self._failed_at = 0  # when a check of the host last failed
+        self._refused_at = 0  # when the host last refused a connection; 0: never
         self._checked_at = 0
-        self._replies: dict[int, asyncio.TimerHandle] = {}  # timers of the checks that are out
+        self._replies: dict[int, SentCheck] = {}  # the checks that are out
         self._releases: list[tuple[bytes, int, HostConnection | None]] = []  # sent, when, and where
 
     # New connections.
 
-    def reopen(self, reason: str, replaces: bool = False, pings: bool = False, patient: bool = True) -> None:
+    def reopen(self, reason: str, pings: bool = False, patient: bool = True) -> None:
         """Open a connection after a release may have been lost: its host repeats it there.
 
-        `replaces`: it takes the place of the older ones; `pings`: it carries a check; `patient`: it may come
-        up late where others carry the requests."""
+        `pings`: it carries a check; `patient`: it may come up late where others carry the requests."""
         if not any(True for _ in self.host.established()):
             return
         if not self.reopen_since:
             self.host.pool.events.record("host_reopen", host=self.host.name, reason=reason)
         self.reopen_since = self.host.pool.now()
-        self._replaces |= replaces
         self._pings |= pings
         self._dial(patient)
 
@@ -87,25 +101,83 @@
         now = self.host.pool.now()
         if now - self.host.last_received < liveness.HOST_SILENT:
             self.host.failures = 0  # a host that says nothing may still take connections
-        for attempt in self.host.established():
-            attempt.verified_at = now
+        self._replace_older()
         self._repeat_releases(connection, now)
         if connection.dialled_at < self.reopen_since:
             return
         self.reopen_since = 0
         pings, self._pings = self._pings, False
-        replaces, self._replaces = self._replaces, False
         if pings:
             self._ping(connection)
-        connection.replaces_others = replaces
 
-    def received(self, connection: HostConnection) -> None:
-        """A host has written on a connection."""
-        if connection.replaces_others:
-            connection.replaces_others = False
-            for other in list(self.host.connections):
-                if other.sessions and other.dialled_at < connection.dialled_at:
-                    other.replace()
+    def refused(self) -> None:
+        """The host has refused a connection: perhaps it drains, and the list says so later."""
+        self._refused_at = self.host.pool.now()
+
+    # Leases.
+
+    def _replaceable(self, now: int) -> bool:
+        """Whether open connections may be replaced by new ones: a host that drains refuses those, and one
+        that holds a lost connection for open may choose it for what has no other."""
+        host = self.host
+        refuses = self._refused_at and now - self._refused_at < REFUSAL_REMEMBERED
+        return not (host.draining or refuses or (host.lease.has_lost(now) and host.pool.limits.probes))
+
+    def _replace_older(self) -> None:
+        now = self.host.pool.now()
+        if self._replaceable(now):
+            outdated = self.host.lease.outdated(now)
+            if outdated:
+                self.host.lease.set_ups = 0
+            for other in [each for each in self.host.connections if each.link in outdated]:
+                other.replace()
+
+    def _close_unused(self, now: int) -> None:
+        """A connection that was opened for what its host repeats has served once that may have come."""
+        for connection in list(self.host.connections):
+            unused = connection.for_check and not connection.carried and not connection.sessions
+            old = now - connection.dialled_at >= UNUSED_FOR
+            if unused and old and any(other.carried for other in self.host.open_connections()):
+                connection.replace()
+
+    def _renew(self, established: list[HostAttempt], now: int) -> None:
+        """See that every connection that a release may come on is checked, and is replaced in time."""
+        self._check_quiet(established, now)
+        self._close_unused(now)
+        replaced = self._replaceable(now) and self.host.pool.room() and self.host.lease.outdated(now)
+        if replaced or self.host.lease.repeat_due(now):
+            self._dial()
+
+    def _check_quiet(self, established: list[HostAttempt], now: int) -> None:
+        checked = {check.connection for check in self._replies.values()}
+        for connection in list(self.host.connections):
+            link = connection.link
+            if link is None or connection in checked or not lease.check_due(link, now):
+                continue
+            if any(self.host.lease.depends_on(attempt.lease, link) for attempt in established):
+                self._check(connection)
+
+    def _check(self, connection: HostConnection) -> None:
+        """See whether a connection passes bytes: its host answers a check, or closes it in its turn."""
+        if self.host.pool.limits.probes:
+            self._ping(connection)
+        elif self.host.pool.room() and not self.host.draining:
+            self._dial()
+            connection.replace()
+
+    def _end_expired(self, established: list[HostAttempt], now: int) -> None:
+        if now - self._resumed_at < READ_AFTER_STOP:
+            return
+        for attempt in established:
+            if self._confirmable(attempt, now) and self.host.lease.expired(attempt.lease, now):
+                self.host.end_unconfirmed(attempt)
+
+    def _confirmable(self, attempt: HostAttempt, now: int) -> bool:
+        """Whether evidence could be had by now: at a host that drains, connections cannot be replaced, and
+        without probes they cannot be checked."""
+        origin = attempt.lease.origin
+        lost = origin is not None and origin.state is lease.LinkState.LOST
+        return lost or self.host.pool.limits.probes or self._replaceable(now)
 
     # Checks.
 
@@ -121,7 +193,7 @@
                 sessions=len(connection.sessions),
             )
         connection.suspect_since = connection.suspect_since or now
-        self.host.pool.verification.note_trouble(now)
+        self.host.lease.troubled_at = now
         if connection.sessions and now - self._checked_at >= liveness.SUSPECT_AGAIN:
             self._checked_at = now
             self.reopen("unanswered")
@@ -129,24 +201,27 @@
     def _ping(self, connection: HostConnection) -> None:
         pool = self.host.pool
         if not pool.limits.probes:
-            self.host.last_received = pool.now()  # that it takes a connection has to do for a sign of life
             return
         session = pool.next_probe()
-        self._replies[session] = pool.later(liveness.CHECK_REPLY, lambda: self._not_answered(session))
+        timer = pool.later(liveness.CHECK_REPLY, lambda: self._not_answered(session))
+        self._replies[session] = SentCheck(connection, timer)
         connection.write(frames.frame(frames.PING, session, {frames.CAUSE: b"\x00"}))
 
     def answered(self, session: int) -> bool:
         """A reply has come; whether it was one to a check."""
-        timer = self._replies.pop(session, None)
-        if timer is not None:
-            timer.cancel()
-        return timer is not None
+        check = self._replies.pop(session, None)
+        if check is not None:
+            check.timer.cancel()
+        return check is not None
 
     def _not_answered(self, session: int) -> None:
-        del self._replies[session]
+        connection = self._replies.pop(session).connection
         host, now = self.host, self.host.pool.now()
-        if now - host.last_received < liveness.CHECK_REPLY:
+        if now - connection.received_at >= liveness.CHECK_REPLY:
+            self.suspect(connection)
+        if now - max(host.last_received, self._failed_at) < liveness.CHECK_REPLY:
             return
+        self._failed_at = now
         host.failures += 1
         host.pool.events.record("host_check_unanswered", host=host.name, failures=host.failures)
         if not host.draining and liveness.is_gone(now, host.last_received, host.failures):
@@ -156,6 +231,9 @@
 
     def watch(self, now: int) -> None:
         """Called now and then."""
+        if now - self._watched_at >= STOPPED:
+            self._resumed_at = now
+        self._watched_at = now
         established = list(self.host.established())
         if not established:
             self.host.last_received = now
@@ -165,12 +243,18 @@
         if not self.host.connections and not self.host.connecting:
             # The list may have dropped it while a connection was still hoped for.
             self.host.keep_reachable()
-        elif liveness.is_silent(now, self.host.last_received) and not self._replies:
-            self.reopen("silent", replaces=True, pings=True, patient=False)
+        elif self._host_silent(now):
+            self.reopen("silent", pings=True, patient=False)
         elif self.reopen_since:
             self._dial()
         else:
-            self._verify(established, now)
+            self._renew(established, now)
+        self._end_expired(established, now)
+
+    def _host_silent(self, now: int) -> bool:
+        """Whether the host has answered nothing, a check of an open connection among it."""
+        unanswered = bool(self.host.failures) or not self.host.open_connections()
+        return unanswered and not self._replies and liveness.is_silent(now, self.host.last_received)
 
     def _close_those_behind(self) -> None:
         for connection in [each for each in self.host.connections if each.sessions]:
@@ -182,23 +266,8 @@
                     connection=connection.name,
                     sessions=len(connection.sessions),
                 )
-                self.host.pool.verification.note_trouble(self.host.pool.now())
                 connection.replace()
 
-    def _verify(self, established: list[HostAttempt], now: int) -> None:
-        due = [
-            attempt
-            for attempt in established
-            if liveness.verification_due(now, attempt.verified_at, attempt.connection_lost_at)
-        ]
-        if not due:
-            return
-        unanchored = [attempt for attempt in due if attempt.connection_lost_at]
-        if unanchored or self.host.pool.verification.spend(now):
-            session = session_name((unanchored or due)[0].session)
-            self.host.pool.events.trace("session_verified", session, host=self.host.name, sessions=len(due))
-            self.reopen("unverified", replaces=True)
-
     # Releases that the gateway sends.
 
     def release_sent(self, message: bytes, connection: HostConnection | None) -> None:
@@ -216,7 +285,7 @@
             chosen = max(connections, key=lambda each: (each is not first, each.received_at))
             chosen.write(message)
             silent = chosen is first and chosen.received_at < sent_at and not self.host.connecting
-            if silent and self.host.pool.verification.spend_always():
+            if silent and self.host.pool.room():
                 self.host.dial(for_check=True)
 
     def _repeat_releases(self, connection: HostConnection, now: int) -> None:
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from burlmast.edge.driver import Try
-from burlmast.liveness import VerificationBudget
+from burlmast.lease import HostLease, Link, LinkInput, SessionLease
 from burlmast.node.descriptors import SHORTAGE
 from burlmast.node.eventlog import EventLog
 from burlmast.node.frames import Frame, FrameReader
@@ -30,7 +30,6 @@
     limits: HostPoolLimits
     callbacks: HostCallbacks
     events: EventLog
-    verification: VerificationBudget
     opened: int  # connections to all hosts that hold a descriptor
     closing: int  # of these, closed for writing and still read
 
@@ -64,6 +63,7 @@
     address: tuple[str, int]
     connections: dict[HostConnection, None]
     connecting: dict[HostConnection, None]
+    lease: HostLease
 
     @property
     def pool(self) -> Pool:
@@ -82,7 +82,10 @@
         """It could not be tried."""
 
     def unreachable(self, refused: bool, for_check: bool = False) -> None:
-        """It did not come up."""
+        """It did not come up in time."""
+
+    def ended_by_host(self) -> None:
+        """The host has closed a connection in order: it lives."""
 
     def reopen(self, reason: str) -> None:
         """A release may have been lost on it."""
@@ -112,10 +115,10 @@
         "driver_attempt",
         "established",
         "host",
+        "lease",
         "origin",
         "sent",
         "session",
-        "verified_at",
         "written",
     )
 
@@ -125,12 +128,13 @@
         self.origin: HostConnection | None = None  # the connection of its set-up
         self.written = self.established = False  # its set-up was written; it has been answered
         self.description = ""
-        self.verified_at = host.pool.now()  # up to when a release that was lost would have shown
+        self.lease = SessionLease(host.pool.now())
 
-    @property
-    def connection_lost_at(self) -> int:
-        """When the connection of its set-up was lost without its host's knowing; 0: it was not."""
-        return self.origin.lost_at if self.origin is not None else 0
+    def establish(self, description: str) -> None:
+        """The host has answered, on the connection of its set-up."""
+        self.description, self.established = description, True
+        link = self.origin.link if self.origin is not None else None
+        self.lease = SessionLease(self.host.pool.now(), link)
 
 
 class HostConnection(asyncio.BufferedProtocol):
@@ -150,13 +154,10 @@
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = self.received_at = host.pool.now()
         self.heard_at = 0  # when its host last wrote on it; 0: never. That it came up proves nothing
-        self.replaces_others = (
-            False  # whether it takes the place of the older ones once its host writes on it
-        )
+        self.link: Link | None = None  # once it has come up
         self.suspect_since = 0  # since when something is unanswered on it; 0: nothing is
         self.replaced = False  # whether others carry what it carried, and it closes once nothing is out
         self.ended_by_host = False  # whether its host has closed it, and so knows that it is closed
-        self.lost_at = 0  # when it was lost, perhaps without its host's knowing
         self.received_any = False  # whether the host has written on it, since it was retired
         self.used = host.pool.now()  # when something last passed on it
         self.carried = CarriedAttempts()
@@ -206,6 +207,7 @@
         if self.state == "connecting":
             self.state = "open"
             self.used = self.received_at = self.host.pool.now()
+            self.link = self.host.lease.opened(self.used)
             if self.timer is not None:
                 self.timer.cancel()
             self.host.connected(self)
@@ -220,6 +222,7 @@
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
         self.used = self.received_at = self.heard_at = self.host.pool.now()
+        self._note(LinkInput.RECEIVED)
         self.suspect_since = 0
         self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
@@ -243,8 +246,13 @@
         if self.partial_since == began and self.state != "closed":
             self.host.reopen("partial_message")
 
+    def _note(self, happening: LinkInput) -> None:
+        if self.link is not None:
+            self.host.lease.take(self.link, happening, self.host.pool.now())
+
     def eof_received(self) -> bool:
         self.ended_by_host = True
+        self.host.ended_by_host()
         # The transport says so a turn of the loop later, and what is written until then is lost.
         self.close("retired" if self.state == "closing" else "connection lost")
         return False
@@ -285,8 +293,8 @@
         unread = why == "retired" and self.state != "closing" and not self.ended_by_host
         if self.state == "closing":
             self.host.pool.closing -= 1
+        self._note(self._how_ended(why))
         self.state = "closed"
-        self.lost_at = 0 if self.ended_by_host else self.lost_at or self.host.pool.now()
         self.host.connections.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
@@ -297,6 +305,13 @@
         if unread and self.sessions:
             self.host.reopen("closed_unread")
 
+    def _how_ended(self, why: str) -> LinkInput:
+        if self.ended_by_host:
+            return LinkInput.ENDED_BY_HOST
+        if why == "connection lost":
+            return LinkInput.RESET
+        return LinkInput.GIVEN_UP if self.state == "closing" and why == "retired" else LinkInput.ABORTED
+
     def _reads_on(self) -> bool:
         """Whether what the host writes as this side closes has to be read."""
         return self.usable and self.host.has_sessions() and self._may_read_on()
@@ -309,6 +324,7 @@
     def _close_for_writing(self) -> None:
         """Read on until the host has closed its side too."""
         self.state = "closing"
+        self._note(LinkInput.CLOSED_FOR_WRITING)
         self.host.connections.pop(self, None)
         self.host.pool.closing += 1
         self.timer = self.host.pool.later(self.host.pool.limits.connect, self._not_closed_by_host)
@@ -316,12 +332,12 @@
             self.transport.write_eof()
 
     def _not_closed_by_host(self) -> None:
-        self.lost_at = self.host.pool.now()
         self.timer = self.host.pool.later(READ_ON, lambda: self.close("retired"))
         self.host.reopen("not_closed_by_host")
 
     def _log_close(self, why: str) -> None:
-        if self.out or self.host.has_sessions():
+        routine = why == "retired" and self.ended_by_host and not self.out
+        if not routine and (self.out or self.host.has_sessions()):
             self.host.pool.events.record(
                 "host_connection_closed",
                 host=self.host.name,
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -10,7 +10,6 @@
 from burlmast.api import Ending, Standing
 from burlmast.edge.driver import Try
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
-from burlmast.liveness import VerificationBudget
 from burlmast.node import frames
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_connection import HostAttempt
@@ -33,7 +32,6 @@
         self._loop = asyncio.get_running_loop()
         self.hosts: dict[int, MediaHost] = {}
         self.opened = 0
-        self.verification = VerificationBudget()
         self.closing = 0  # connections that are closed for writing and still read
         self._sessions = 0
         self._closed = False
--- a/burlmast/node/host_records.py
+++ b/burlmast/node/host_records.py
@@ -36,6 +36,9 @@
     def __contains__(self, playback: int) -> bool:
         return playback in self._causes
 
+    def __bool__(self) -> bool:
+        return bool(self._causes)
+
     def add(self, playback: int) -> None:
         """A set-up is sent."""
         self._causes.pop(playback, None)
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -8,6 +8,7 @@
 from burlmast import api, liveness
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
+from burlmast.lease import HostLease
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
 from burlmast.node.frames import Frame
@@ -34,6 +35,7 @@
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
         self.last_received = pool.now()
         self.failures = 0
+        self.lease = HostLease()
         self.checks = HostChecks(self)
 
     # Connections.
@@ -114,7 +116,7 @@
 
     def _log_opened(self, connection: HostConnection) -> None:
         sessions = sum(1 for _ in self.established())
-        if sessions:
+        if sessions and self.checks.reopen_since:
             self.pool.events.record(
                 "host_connection_opened",
                 host=self.name,
@@ -174,7 +176,8 @@
     def unreachable(self, refused: bool, for_check: bool = False) -> None:
         """No connection came up; where it was refused the process is dead, and what stood there with it."""
         self.failures += 1
-        self.pool.verification.note_trouble(self.pool.now())
+        if refused:
+            self.checks.refused()
         if self.connecting:  # the others say what becomes of what waits
             waiting = [self.waiting.pop(0)] if self.waiting and not for_check else []
         else:
@@ -189,8 +192,10 @@
                 )
         silent = liveness.is_gone(self.pool.now(), self.last_received, self.failures)
         lost = not self.open_connections() and self.failures >= liveness.CHECKS_FAILED
-        # A host that drains refuses connections and plays on; the list says when it is gone.
-        if not self.draining and (refused or silent or lost):
+        # A host that drains refuses connections and plays on, and the list may say so late: a refusal shows
+        # that its process is dead where a connection has been lost.
+        dead = refused and bool(self.checks.reopen_since or not self.open_connections())
+        if not self.draining and (dead or silent or lost):
             self.cut("refused" if refused else "silent")
 
     def cut(self, why: str) -> None:
@@ -221,7 +226,6 @@
             if self.pool.now() < sent.repeat_until and sent.gives_up not in self.attempts:
                 self.send_on_session(sent.message, sent.repeat_until - self.pool.now())
         if why in ("connection lost", "not understood"):
-            self.pool.verification.note_trouble(self.pool.now())
             # A process that dies may also reset one connection at once and another seconds later.
             self.reopen(why.replace(" ", "_"))
         self.keep_reachable()
@@ -244,6 +248,25 @@
         """The attempts whose sessions stand here."""
         return (each for each in self.attempts.values() if each.driver_attempt.state == "flowing")
 
+    def ended_by_host(self) -> None:
+        """The host has closed a connection in order: it lives."""
+        self.last_received = self.pool.now()
+
+    def end_unconfirmed(self, attempt: HostAttempt) -> None:
+        """A session whose release may have been lost is ended, towards its host and its viewer."""
+        origin, now = attempt.lease.origin, self.pool.now()
+        self.pool.events.record(
+            "session_lease_expired",
+            session=session_name(attempt.session),
+            host=self.name,
+            connection=attempt.origin.name if attempt.origin is not None else "",
+            connection_state=origin.state.name.lower() if origin is not None else "",
+            unconfirmed_ms=(now - self.lease.confirmed_at(attempt.lease)) // MS,
+            links=",".join(link.state.name.lower() for link in self.lease.links),
+        )
+        self._release_at_host(attempt)
+        self.finish(attempt, BINARY_ENDS[41], api.Load())
+
     def has_sessions(self) -> bool:
         """Whether something plays here."""
         return any(True for _ in self.established())
@@ -292,7 +315,7 @@
             return
         _, plan, title, description = attempt.sent
         attempt.written = True
-        self.pool.verification.earn()
+        self.lease.set_up_sent()
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
@@ -393,7 +416,6 @@
     def received(self, connection: HostConnection, message: Frame) -> None:
         self.last_received = self.pool.now()
         self.failures = 0
-        self.checks.received(connection)
         found = HANDLERS.get(message.kind)
         if found is not None:
             found(self, connection, message)
@@ -411,8 +433,7 @@
                 attempt.driver_attempt, BINARY_ENDINGS["not understood", None], api.Load()
             )
         else:
-            attempt.description, attempt.established = message.description, True
-            attempt.verified_at = self.pool.now()
+            attempt.establish(message.description)
             connection.sessions.add(attempt.session)
             self.pool.events.trace(
                 "session_established",
@@ -448,6 +469,7 @@
         if refusal or earlier:
             self._ignore_release(connection, message, "refusal" if refusal else "earlier_attempt")
             if not refusal:
+                attempt.lease.doubted_at = attempt.lease.doubted_at or self.pool.now()
                 self.reopen("release_ignored")
             return
         if connection is not attempt.origin:
@@ -478,9 +500,15 @@
     def _noted(self, connection: HostConnection, message: Frame) -> None:
         attempt, note = self.attempts.get(message.session), message.note
         if attempt is not None and note is not None:
-            attempt.verified_at = self.pool.now()
+            self._show_loss_known(attempt, connection)
             self.pool.callbacks.noted(attempt.driver_attempt, *note)
 
+    def _show_loss_known(self, attempt: HostAttempt, connection: HostConnection) -> None:
+        """What concerns a session comes on another connection only once its host holds its own for closed."""
+        origin = attempt.lease.origin
+        if origin is not None and origin is not connection.link:
+            self.lease.known_closed(origin, self.pool.now())
+
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
         probe = connection.probes.pop(message.session, None)
         if probe is None:
--- a/burlmast/standin/faultlink.py
+++ b/burlmast/standin/faultlink.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
@@ -34,6 +36,16 @@
 DROPS = Rule(drops=True)
 
 
+NO_LINGER = struct.pack("ii", 1, 0)  # a close then resets the connection, also where nothing is unread
+
+
+def reset_transport(transport: asyncio.Transport) -> None:
+    """Close at once by a reset; `abort` alone may close in order."""
+    if not transport.is_closing():
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        transport.abort()
+
+
 class _Side(asyncio.Protocol):
     """One end of a relayed connection."""
 
@@ -103,7 +115,7 @@
         self._fail()
         for side in (self.client_side, self.target_side):
             if side.transport is not None:
-                side.transport.abort()
+                reset_transport(side.transport)
 
     def close(self) -> None:
         """Close both sides; what is held is discarded."""
@@ -117,7 +129,7 @@
         self._fail()
         self.put(DROPS)
         if self.client_side.transport is not None:
-            self.client_side.transport.abort()
+            reset_transport(self.client_side.transport)
         self.link.loop.call_later(target_after, self.reset)
 
     def side_made(self, side: _Side) -> None:
@@ -180,7 +192,7 @@
 
     def _end(self, direction: Direction, receiver: asyncio.Transport) -> None:
         if direction in self._reset:
-            receiver.abort()
+            reset_transport(receiver)
             return
         sender = (self.client_side if direction is Direction.UP else self.target_side).transport
         if sender is None or sender.is_closing():
--- a/burlmast/trials/play.py
+++ b/burlmast/trials/play.py
@@ -289,6 +289,7 @@
             for connection in connections:
                 connection.reset() if cell.fate is Fate.RESET else connection.close()
         if cell.duration != FOR_GOOD:
+            self.records.passes_again = self.records.fault_began + cell.duration
             self._loop.call_later(cell.duration, self._heal, connections, whole_link)
         elif cell.message is Message.VIEWER_END:
             self._loop.call_later(REOPEN_FRONT_AFTER, self._open_front)
