--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -20,6 +20,7 @@
 PARTIAL_TOLERATED = 250 * MS
 CLOSING_LEAST = 4  # connections that may be read on though closed: each holds a descriptor
 CLOSING_PART = 8  # of the descriptors for hosts, for the same
+LATE_DIAL = 4  # times the settings' time for a connection, for one that comes up late
 READ_ON = 8_000 * MS  # a release that is held back is due within 8 s of its session's end, by the protocol
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
@@ -63,6 +64,7 @@
     address: tuple[str, int]
     connections: dict[HostConnection, None]
     connecting: dict[HostConnection, None]
+    late: dict[HostConnection, None]
     lease: HostLease
 
     @property
@@ -181,20 +183,32 @@
         # Time may run out between the coming up and the return of what dialled; one of them counts.
         if self.state != "connecting":
             return
-        self.drop()
+        late = self in self.host.late
+        if why is None and not late and self.host.has_sessions():
+            self._wait_on()
+        else:
+            self.drop()
+        if late:
+            return
         if why is not None and why.errno in SHORTAGE:
             self.host.short_of_descriptors()
         else:
             self.host.unreachable(isinstance(why, ConnectionRefusedError), self.for_check)
             if why is None:
-                # The host may see it come up all the same, and repeat its releases there.
                 self.host.reopen("dial_timed_out")
 
+    def _wait_on(self) -> None:
+        """Nothing waits for it any more, but its host may see it come up and write releases there."""
+        self.host.connecting.pop(self, None)
+        self.host.late[self] = None
+        self.timer = self.host.pool.later(LATE_DIAL * self.host.pool.limits.connect, self.overdue)
+
     def drop(self) -> None:
         """It is waited for no longer."""
         if self.state == "connecting":
             self.state = "closed"
             self.host.connecting.pop(self, None)
+            self.host.late.pop(self, None)
             self.host.pool.opened -= 1
             if self.timer is not None:
                 self.timer.cancel()
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -104,7 +104,8 @@
         for host in turning:
             host.drain()
         for number, host in list(self.hosts.items()):
-            if not host.in_service and not host.attempts and not host.connections and not host.connecting:
+            dialled = host.connections or host.connecting or host.late
+            if not (host.in_service or host.attempts or dialled):
                 del self.hosts[number]
 
     def restarted(self, number: int, at: int) -> None:
@@ -163,7 +164,7 @@
         self._closed = True
         for host in self.hosts.values():
             host.in_service = False
-            for connection in list(host.connecting):
+            for connection in [*host.connecting, *host.late]:
                 connection.drop()
             for connection in list(host.connections):
                 connection.close("shutdown")
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from functools import partial
 
 from burlmast import api, liveness
 from burlmast.api import Ending
@@ -18,6 +19,7 @@
 
 MS = 1_000_000
 KEPT_FOR_HUNG_HOST = 4  # connections, any of which it may take for its next release
+UNWANTED_AFTER = 100 * MS  # after a request's deadline, when it has been answered
 MESSAGE_PATIENCE = 4  # times the settings' time for a connection, for a message whose bytes go on coming
 
 
@@ -33,6 +35,7 @@
         self.probes: list[tuple[int, int]] = []  # probes that wait for one, and since when
         self.backlog: list[tuple[bytes, int]] = []  # messages on established sessions that wait for one
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
+        self.late: dict[HostConnection, None] = {}  # those that may come up yet, for what the host repeats
         self.last_received = pool.now()
         self.failures = 0
         self.lease = HostLease()
@@ -95,6 +98,7 @@
 
     def connected(self, connection: HostConnection) -> None:
         self.connecting.pop(connection, None)
+        self.late.pop(connection, None)
         self.connections[connection] = None
         self._log_opened(connection)
         self.checks.connected(connection)
@@ -168,7 +172,7 @@
         """The list has dropped it, or has it elsewhere: nothing is waited for at this address any more."""
         self.in_service = False
         # The address may be another host's by now, and what comes up there would carry what waits.
-        for connection in list(self.connecting):
+        for connection in [*self.connecting, *self.late]:
             connection.drop()
         # A machine that goes for good says nothing, and its connections stay open.
         self.cut(why)
@@ -215,6 +219,8 @@
         ending = BINARY_ENDINGS.get((why, None), Ending.BROKEN)
         for attempt in out.values():
             attempt.connection = None
+            if attempt.written:
+                self._release_unwanted(attempt)
             self.finish(attempt, ending if attempt.written else BINARY_ENDINGS["not sent", None], api.Load())
         probes, connection.probes = connection.probes, {}
         for probe in probes.values():
@@ -387,6 +393,17 @@
         message = frames.release(attempt.session)
         self.checks.release_sent(message, self.send_on_session(message, RELEASE_REPEATED))
 
+    def _release_unwanted(self, attempt: HostAttempt) -> None:
+        """A host may establish what was out on a connection that is lost, before it learns of the loss: it is
+        released there once its request is over and cannot be sent there again."""
+        due = attempt.driver_attempt.playback.abandon + UNWANTED_AFTER
+        self.pool.later(max(0, due - self.pool.now()), partial(self._release_unless_known, attempt.session))
+
+    def _release_unless_known(self, session: int) -> None:
+        if session not in self.attempts and self.in_service:
+            message = frames.release(session)
+            self.checks.release_sent(message, self.send_on_session(message, RELEASE_REPEATED))
+
     def spares(self, connection: HostConnection) -> bool:
         """Whether it carries nothing, and is not the last that could tell of what stands here."""
         return (
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -535,6 +535,45 @@
     run(work, tmp_path, 1)
 
 
+def test_an_end_written_on_a_connection_that_comes_up_after_its_dial_ran_out_of_time_arrives(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        loop = asyncio.get_running_loop()
+        at_once = loop.create_connection
+
+        async def late(factory: Any, address: str, port: int) -> Any:
+            raw = socket.socket()
+            raw.setblocking(False)
+            await loop.sock_connect(raw, (address, port))
+            await asyncio.sleep(0.4)
+            return await at_once(factory, sock=raw)
+
+        monkeypatch.setattr(loop, "create_connection", late)
+        host.to_repeat.append(release(SESSION, 16))  # once, on the next connection that is opened
+        host.links[0].close()
+        ended = await line.hear()
+        assert (ended["id"], ended["cause"]) == (ID, 16), "as its host has released it, not cut"
+
+    run(work, tmp_path, 1)
+
+
+def test_a_set_up_whose_connection_is_lost_is_released_at_its_host_once_its_request_is_over(
+    tmp_path: Path,
+) -> None:
+    async def work(one: Platform) -> None:
+        line, host = await one.line(), one.hosts[0]
+        host.does = lambda message: b""
+        line.set_up(ID, left="600")
+        await until(lambda: host.of(frames.SETUP))
+        host.links[0].transport.abort()
+        assert (await line.hear())["type"] == "release"
+        await until(lambda: any(message.session == SESSION for message in host.of(frames.RELEASE)), 3)
+
+    run(work, tmp_path, 1)
+
+
 def test_no_set_up_is_lost_on_a_connection_that_its_host_has_closed(tmp_path: Path) -> None:
     async def work(one: Platform) -> None:
         line, host = await playing(one)
