--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -20,7 +20,9 @@
 ANSWER_DELIVERED = 2_000 * MS  # after which an answer counts as delivered
 SLOW_RESEND_AFTER = 500 * MS  # once that second is over, and on a connection that has carried it before
 PROMPT = 1_000 * MS  # from a session's end until its viewer has to be released, by the protocol
-GIVE_UP_AFTER = 10_000 * MS  # an end that could not be sent is due within 8 s, by the protocol
+SLOWEST_RESEND_AFTER = 2_500 * MS  # once an end that could not be sent would be late, by the protocol
+LATE = 10_000 * MS
+GIVE_UP_AFTER = 30_000 * MS  # a viewer that has acknowledged nothing for so long is gone
 UNACKNOWLEDGED_KEPT = (
     1_000 * MS
 )  # how long a message that wants no acknowledgement is kept for a lost connection
@@ -228,6 +230,8 @@
 def _resend_after(end: PendingEnd, now: int) -> int:
     if not end.wants_acknowledgement:
         return UNACKNOWLEDGED_KEPT
+    if now - end.ended_at >= LATE:
+        return SLOWEST_RESEND_AFTER
     if now - end.ended_at >= PROMPT:
         return SLOW_RESEND_AFTER
     if len(end.sends) > 1 or end.answer_delivered():
--- a/tests/test_node_delivery.py
+++ b/tests/test_node_delivery.py
@@ -12,10 +12,12 @@
 from burlmast.node.delivery import (
     ANSWER_DELIVERED,
     GIVE_UP_AFTER,
+    LATE,
     PROMPT,
     RESEND_AFTER,
     RESEND_AFTER_UNPROVEN,
     SLOW_RESEND_AFTER,
+    SLOWEST_RESEND_AFTER,
     UNACKNOWLEDGED_KEPT,
     EndDelivery,
 )
@@ -107,10 +109,25 @@
     assert min(counts) >= 2 and max(counts) - min(counts) <= 1, "what each carried may have been lost"
     world.pass_time(GIVE_UP_AFTER)
     sends = sum(len(connection.written) for connection in connections)
+    assert sends <= LATE // SLOW_RESEND_AFTER + (GIVE_UP_AFTER - LATE) // SLOWEST_RESEND_AFTER + len(
+        connections
+    )
     assert sends <= GIVE_UP_AFTER // SLOW_RESEND_AFTER + len(connections)
     assert not world.delivery.pending and f"end_given_up session=a sends={sends}" in world.lines
 
 
+def test_an_end_that_no_connection_passed_for_twenty_seconds_goes_out_on_the_next_one() -> None:
+    world = World(Connection("own"))
+    (own,) = world.connections
+    world.delivery.send("a", b"end", own)
+    world.pass_time(20_000 * MS)
+    new = world.connect(Connection("new"))
+    world.pass_time(SLOWEST_RESEND_AFTER + MS)
+    assert new.written
+    world.delivery.acknowledge("a", new)
+    assert not world.delivery.pending
+
+
 def test_an_end_on_the_only_connection_is_repeated_there_no_sooner_than_the_slow_pace() -> None:
     world = World(Connection("only"))
     (only,) = world.connections
