--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
 
 from burlmast import api, liveness
@@ -15,6 +15,7 @@
 from burlmast.node.frames import Frame
 from burlmast.node.host_checks import RELEASE_REPEATED, HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
+from burlmast.node.host_messages import HostMessages
 from burlmast.node.host_records import SentProbe
 
 MS = 1_000_000
@@ -40,6 +41,7 @@
         self.failures = 0
         self.lease = HostLease()
         self.checks = HostChecks(self)
+        self.messages = HostMessages(self)
 
     # Connections.
 
@@ -428,124 +430,19 @@
                 self.dial()
         return None
 
-    # Messages.
-
     def received(self, connection: HostConnection, message: Frame) -> None:
+        """One message has come."""
         self.last_received = self.pool.now()
         self.failures = 0
-        found = HANDLERS.get(message.kind)
-        if found is not None:
-            found(self, connection, message)
-
-    def _answered(self, connection: HostConnection, message: Frame) -> None:
-        attempt = connection.out.pop(message.session, None)
-        if attempt is None:
-            return  # a second copy, or one ahead of its set-up
-        attempt.connection = None
-        if message.description is None:
-            self.forget(attempt)
-            self.pool.callbacks.log_line(f"host {self.name}: an answer without a description")
-            connection.write(frames.release(attempt.session))
-            self.pool.callbacks.ended(
-                attempt.driver_attempt, BINARY_ENDINGS["not understood", None], api.Load()
-            )
-        else:
-            attempt.establish(message.description)
-            connection.sessions.add(attempt.session)
-            self.pool.events.trace(
-                "session_established",
-                session_name(attempt.session),
-                attempt=attempt.driver_attempt.place,
-                host=self.name,
-                connection=connection.name,
-            )
-            self.pool.callbacks.flowing(attempt.driver_attempt)
-        if connection.state == "leaving":
-            connection.retire()
-
-    def _released(self, connection: HostConnection, message: Frame) -> None:
-        attempt = self.attempts.get(message.session)
-        if attempt is None:
-            self._ignore_release(connection, message, "unknown_session")
-        elif attempt.driver_attempt.state == "flowing":
-            self._session_released(attempt, connection, message)
-        elif attempt.connection is connection:
-            self._refused(attempt, connection, message)
-        else:
-            self._ignore_release(connection, message, "attempt_out_elsewhere")
-
-    def _session_released(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
-        # What answers an earlier attempt may come twice, late; a session that was established goes on.
-        cause = message.cause
-        refusal = cause not in BINARY_ENDS and ("release", cause) in BINARY_ENDINGS
-        earlier = (
-            attempt.origin in self.connections
-            and connection is not attempt.origin
-            and connection.carried.may_repeat(attempt.driver_attempt.playback.number, cause)
-        )
-        if refusal or earlier:
-            self._ignore_release(connection, message, "refusal" if refusal else "earlier_attempt")
-            if not refusal:
-                attempt.lease.doubted_at = attempt.lease.doubted_at or self.pool.now()
-                self.reopen("release_ignored")
-            return
-        if connection is not attempt.origin:
-            self.pool.events.record(
-                "release_elsewhere",
-                session=session_name(message.session),
-                host=self.name,
-                connection=connection.name,
-                origin=attempt.origin.name if attempt.origin is not None else "",
-                origin_state=attempt.origin.state if attempt.origin is not None else "",
-            )
-        load = message.load(self.pool.limits.report)
-        self.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
-
-    def _refused(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
-        connection.carried.refused(attempt.driver_attempt.playback.number, message.cause)
-        ending = BINARY_ENDINGS.get(("release", message.cause), BINARY_ENDINGS["release", None])
-        self.finish(attempt, ending, message.load(self.pool.limits.report))
-
-    def _ignore_release(self, connection: HostConnection, message: Frame, reason: str) -> None:
-        session = session_name(message.session)
-        fields = {"host": self.name, "connection": connection.name, "cause": message.cause, "reason": reason}
-        if reason == "unknown_session":  # a host repeats releases
-            self.pool.events.trace("release_ignored", session, **fields)
-        else:
-            self.pool.events.record("release_ignored", session=session, **fields)
-
-    def _noted(self, connection: HostConnection, message: Frame) -> None:
-        attempt, note = self.attempts.get(message.session), message.note
-        if attempt is not None and note is not None:
-            self._show_loss_known(attempt, connection)
-            self.pool.callbacks.noted(attempt.driver_attempt, *note)
-
-    def _show_loss_known(self, attempt: HostAttempt, connection: HostConnection) -> None:
-        """What concerns a session comes on another connection only once its host holds its own for closed."""
-        origin = attempt.lease.origin
-        if origin is not None and origin is not connection.link:
-            self.lease.known_closed(origin, self.pool.now())
-
-    def _ponged(self, connection: HostConnection, message: Frame) -> None:
-        probe = connection.probes.pop(message.session, None)
-        if probe is None:
-            self.checks.answered(message.session)
-        else:
-            probe.timer.cancel()
-            ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
-            load = message.load(self.pool.limits.report)
-            self.pool.callbacks.probed(self.number, ending, max(0, self.pool.now() - probe.began), load)
-        if connection.state == "leaving":
-            connection.retire()
+        self.messages.received(connection, message)
 
-    # Tests.
+    # Probes.
 
     def probe(self, session: int) -> None:
         connections = self.open_connections()
         if connections:
-            self._probe_on(
-                min(connections, key=lambda connection: len(connection.out)), session, self.pool.now()
-            )
+            chosen = min(connections, key=lambda each: (len(each.out), each.received_at))
+            self._probe_on(chosen, session, self.pool.now())
         elif self.pool.room() or self.connecting:
             self.probes.append((session, self.pool.now()))
             if not self.connecting:
@@ -559,6 +456,17 @@
         connection.probes[session] = SentProbe(began, timer)
         connection.write(frames.frame(frames.PING, session, {frames.CAUSE: b"\x01"}))
 
+    def probe_answered(self, connection: HostConnection, message: Frame) -> bool:
+        """A reply has come; whether it was one to a probe of the driver."""
+        probe = connection.probes.pop(message.session, None)
+        if probe is None:
+            return False
+        probe.timer.cancel()
+        ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
+        load = message.load(self.pool.limits.report)
+        self.pool.callbacks.probed(self.number, ending, max(0, self.pool.now() - probe.began), load)
+        return True
+
     def _probe_late(self, connection: HostConnection, session: int) -> None:
         probe = connection.probes.pop(session, None)
         if probe is not None:
@@ -583,11 +491,3 @@
         for connection in self.open_connections():
             if connection.received_any and not self.fresh(connection, now) and self.spares(connection):
                 connection.close("retired")
-
-
-HANDLERS: dict[int, Callable[[MediaHost, HostConnection, Frame], None]] = {
-    frames.ANSWER: MediaHost._answered,
-    frames.RELEASE: MediaHost._released,
-    frames.NOTE: MediaHost._noted,
-    frames.PONG: MediaHost._ponged,
-}
