A connection is checked after 5.2 s without a byte; check connections put no other behind

A host sends notes every 2.3 to 4.8 s where a session stands, so that a check after 4 s came just before many a note, and hosts take few probes. After 5.2 s the reply still fits into the lease (5.2 + 0.25 + 1.25 s of 7.3). A connection that only repeats releases counts no longer as one that others are behind.

--- a/burlmast/lease.py
+++ b/burlmast/lease.py
@@ -19,7 +19,7 @@
 MS = 1_000_000
 # A release that could not be sent is due at the viewer within 8 s of the session's end, by the protocol.
 LEASE = 7_300 * MS
-CHECK = 4_000 * MS  # after so long without a byte a connection is checked: the reply to it fits into a lease
+CHECK = 5_200 * MS  # after so long without a byte a connection is checked: the reply to it fits into a lease
 RENEW = 20_000 * MS  # the age at which a connection is replaced by a new one
 RENEW_SOON = 3_000 * MS  # the same, after trouble with the host, and where many set-ups share the handshake
 SET_UPS_SHARING = 8
--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -259,7 +259,9 @@
 
     def _close_those_behind(self) -> None:
         for connection in [each for each in self.host.connections if each.sessions]:
-            others = [other.heard_at for other in self.host.connections if other is not connection]
+            others = [
+                other.heard_at for other in self.host.connections if other.carried and other is not connection
+            ]
             if liveness.is_behind(connection.received_at, connection.suspect_since, max(others, default=0)):
                 self.host.pool.events.record(
                     "host_connection_behind",
