--- a/burlmast/lease.py
+++ b/burlmast/lease.py
@@ -115,7 +115,8 @@
 
     def opened(self, now: int) -> Link:
         """A connection has come up. That it did proves nothing but that its host writes there from now on."""
-        link = Link(opened_at=now, confirmed_at=now)
+        # What has ended while there was no connection is written on this one first.
+        link = Link(opened_at=now, confirmed_at=now if self.links else self.last_ended_at or now)
         self.links.append(link)
         self.last_opened_at = now
         return link
