--- a/burlmast/standin/relay.py
+++ b/burlmast/standin/relay.py
@@ -87,13 +87,15 @@
         elif self._over and ready and not self._held:
             assert self.other is not None and self.other.transport is not None
             self.other.transport.close()
+            self.link.halves.discard(self)
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.link.halves.discard(self)
         self._over = True
+        if not self._held or self.other is None:
+            self.link.halves.discard(self)  # else its close follows what a silent link holds back
         if exc is not None and self.other is not None and self.other.transport is not None:
             self.other.transport.abort()
         else:
@@ -102,6 +104,8 @@
     def abort(self) -> None:
         """End it at once."""
         self._held.clear()
+        if self._over:
+            self.link.halves.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         if self.transport is not None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,10 +16,14 @@
     """Says back what it hears, and remembers it."""
 
     heard = b""
+    lost = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        Echo.lost += 1
+
     def data_received(self, data: bytes) -> None:
         Echo.heard += data
         self.transport.write(data)  # type: ignore[attr-defined]
@@ -40,7 +44,7 @@
 
 def linked(play: Callable[[Link, Near, asyncio.Transport], Awaitable[None]]) -> None:
     async def run() -> None:
-        Echo.heard = b""
+        Echo.heard, Echo.lost = b"", 0
         loop = asyncio.get_running_loop()
         server = await loop.create_server(Echo, "127.0.0.1", 0)
         link = Link(("127.0.0.1", server.sockets[0].getsockname()[1]))
@@ -91,6 +95,19 @@
     linked(play)
 
 
+def test_a_close_behind_what_a_silent_link_holds_back_comes_when_it_heals() -> None:
+    async def play(link: Link, near: Near, transport: asyncio.Transport) -> None:
+        link.put(SILENT)
+        transport.write(b"b")
+        transport.close()
+        await asyncio.sleep(0.05)
+        assert (Echo.heard, Echo.lost) == (b"a", 0)
+        link.put(WELL)
+        await until(lambda: Echo.heard == b"ab" and Echo.lost == 1)
+
+    linked(play)
+
+
 def test_a_late_link_delivers_late_and_in_order() -> None:
     async def play(link: Link, near: Near, transport: asyncio.Transport) -> None:
         link.put(State(delay_s=0.1))
