--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -147,6 +147,24 @@
     assert not broken(tmp_path, chosen)
 
 
+@pytest.mark.parametrize(
+    "chosen",
+    [
+        cell(
+            Message.GATEWAY_RELEASE, Connections.ALL, Company.BESIDE, Fate.DELAYED, 1.5,
+            around=Around.HANDED_OVER,
+        ),
+        cell(
+            Message.HOST_RELEASE, Connections.OWN, Company.BUSY, Fate.DELAYED, 5.0,
+            host=HostKind.REPEATS_LOST,
+        ),
+    ],
+    ids=lambda chosen: chosen.name,
+)  # fmt: skip
+def test_nothing_is_left_standing_though_what_is_sent_comes_late(tmp_path: Path, chosen: Cell) -> None:
+    assert not broken(tmp_path, chosen)
+
+
 # The judge, by records that break one rule each.
 
 CHECKED = cell(Message.HOST_RELEASE, Connections.OWN, Company.BESIDE, Fate.RESET, 0.05)
