Log: how a connection with sessions ended, dials that were dropped, losses taken for known

Change: host_connection_closed has ending, silent_ms and the sessions that were set up on it, and is written for ordinary closes too where there are any; host_dial_dropped and host_loss_known are new. Result: no behaviour changes; session ends, loopback and delivery tests pass (79).

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -10,7 +10,7 @@
 from burlmast.edge.driver import Try
 from burlmast.lease import HostLease, Link, LinkInput, SessionLease
 from burlmast.node.descriptors import SHORTAGE
-from burlmast.node.eventlog import EventLog
+from burlmast.node.eventlog import EventLog, session_name
 from burlmast.node.frames import Frame, FrameReader
 from burlmast.node.host_interface import HostCallbacks, HostPoolLimits, SetupPayload
 from burlmast.node.host_records import CarriedAttempts, SentLately, SentProbe
@@ -22,6 +22,7 @@
 CLOSING_PART = 8  # of the descriptors for hosts, for the same
 LATE_DIAL = 4  # times the settings' time for a connection, for one that comes up late
 READ_ON = 8_000 * MS  # a release that is held back is due within 8 s of its session's end, by the protocol
+SESSIONS_LOGGED = 8  # of those that a connection's end concerns
 BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
 
 
@@ -207,6 +208,7 @@
         """It is waited for no longer."""
         if self.state == "connecting":
             self.state = "closed"
+            self._log_dropped_dial()
             self.host.connecting.pop(self, None)
             self.host.late.pop(self, None)
             self.host.pool.opened -= 1
@@ -215,6 +217,17 @@
             if self.task is not None and self.task is not asyncio.current_task():
                 self.task.cancel()
 
+    def _log_dropped_dial(self) -> None:
+        """Its host may have seen it come up, and written a release there."""
+        if self.host.has_sessions():
+            self.host.pool.events.record(
+                "host_dial_dropped",
+                host=self.host.name,
+                connection=self.name,
+                late=self in self.host.late,
+                waited_ms=(self.host.pool.now() - self.dialled_at) // MS,
+            )
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
@@ -307,12 +320,13 @@
         unread = why == "retired" and self.state != "closing" and not self.ended_by_host
         if self.state == "closing":
             self.host.pool.closing -= 1
-        self._note(self._how_ended(why))
+        ending = self._how_ended(why)
+        self._note(ending)
         self.state = "closed"
         self.host.connections.pop(self, None)
         if self.timer is not None:
             self.timer.cancel()
-        self._log_close(why)
+        self._log_close(why, ending)
         if self.transport is not None:
             self.transport.abort() if why == "not understood" else self.transport.close()
         self.host.lost(self, why)
@@ -349,14 +363,17 @@
         self.timer = self.host.pool.later(READ_ON, lambda: self.close("retired"))
         self.host.reopen("not_closed_by_host")
 
-    def _log_close(self, why: str) -> None:
-        routine = why == "retired" and self.ended_by_host and not self.out
+    def _log_close(self, why: str, ending: LinkInput) -> None:
+        routine = why == "retired" and self.ended_by_host and not (self.out or self.sessions)
         if not routine and (self.out or self.host.has_sessions()):
             self.host.pool.events.record(
                 "host_connection_closed",
                 host=self.host.name,
                 connection=self.name,
                 reason=why.replace(" ", "_"),
+                ending=ending.name.lower(),
+                silent_ms=(self.host.pool.now() - self.received_at) // MS,
+                sessions=",".join(session_name(session) for session in list(self.sessions)[:SESSIONS_LOGGED]),
                 attempts_out=len(self.out),
                 partial_message=self.reader.partial,
                 connections_left=len(self.host.connections),
--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -8,7 +8,7 @@
 from burlmast import api
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
-from burlmast.lease import HostLease
+from burlmast.lease import HostLease, LinkState
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
 from burlmast.node.frames import Frame
@@ -143,6 +143,13 @@
         """What concerns a session comes on another connection only once its host holds its own for closed."""
         origin = attempt.lease.origin
         if origin is not None and origin is not connection.link:
+            if origin.state is LinkState.LOST:
+                self.host.pool.events.record(
+                    "host_loss_known",
+                    host=self.host.name,
+                    connection=connection.name,
+                    session=session_name(attempt.session),
+                )
             self.host.lease.known_closed(origin, self.host.pool.now())
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
