A session is confirmed by replies and by what its host says of it, never by how a connection ends

Cause: the lease took an ending for its host's word. A close in order, a reset that answered this side's close and a close of this side's own made a link CLOSED, with all that was written there counted as read; a message of another session made a LOST link CLOSED; bytes counted from when they were read, not from when they were written; a dial that was dropped counted for nothing. Change: HostLease.confirmed_at is the one function of evidence. A reply shows that all has come that was written there before the request; a burst of bytes shows it only for what was written before the burst before it; a message about a session shows that it was established then. No end of a connection shows anything: after it a session depends on what is said of it elsewhere, or on every connection that its host may hold for open, among them those that ended within the idle time, dials that were dropped and those of an earlier process. Nothing is "not confirmable" any more. Connections are opened and replaced for silent sessions alone; a connection with sessions is asked before it is replaced. Dials that a release may come on are awaited. Tests: test_lease.py asserted that an orderly close delivers what it carried and that bytes confirm when read; both are what the incident broke on, and are replaced by their opposites (every way to end a connection confirms nothing). Age alone no longer replaces a connection (20 s without trouble gave a release 20.5 s after its loss, past the protocol's 8 s); its test asserts when it still does.

--- a/burlmast/lease.py
+++ b/burlmast/lease.py
@@ -1,44 +1,57 @@
 """The lease on the sessions of one host: up to when their ends are known to have arrived. Free of I/O.
 
-A lease is renewed by evidence and runs out without it (Gray and Cheriton 1989). The evidence is what a host
-writes and how it ends a connection. A session whose lease runs out is ended by the gateway, towards its host
-and towards its viewer, whatever has become of the release that its host may have written.
+A lease is renewed by evidence and runs out without it (Gray and Cheriton 1989). A session whose lease runs
+out is ended by the gateway, towards its host and towards its viewer, whatever has become of the release that
+its host may have written. `HostLease.confirmed_at` is the one function that says what counts as evidence.
 
 A host writes a session's release on the connection of its set-up, failing that on any open one, and repeats
-it on the next one that is opened (the platform's protocol, "Gateways to media hosts"). The page leaves open
-whether it repeats all of them, or only those that it wrote on a connection that it has seen closed. A lease
-rests on neither: each connection that may carry a release has to show that it passes bytes, and one that is
-gone counts as closed at its host only if the host has closed it too. Times in nanoseconds on one clock.
+it on the next one that is opened (the platform's protocol, "Gateways to media hosts"). Between the two may
+stand a box that drops, holds or delays what passes, and closes or resets either side on its own. So:
+
+* A reply to something that was sent at a time shows that all has come which its host had written on that
+  connection before that time. Other bytes do not say when they were written: they may have been held since
+  the burst of bytes before them, and show that all has come which was written before that one.
+* A message about a session shows that it was established when the message was written.
+* How a connection ends shows nothing, nor does another one that comes up: the host may hold the first for
+  open, and repeat nothing. That a host repeats makes an end arrive sooner; no lease rests on it.
+
+Times in nanoseconds on one clock.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
 MS = 1_000_000
 # A release that could not be sent is due at the viewer within 8 s of the session's end, by the protocol.
 LEASE = 7_300 * MS
-# After so long without a byte a connection is replaced, or checked: the evidence fits into what is left.
+# At this age the evidence is renewed: a reply, or what a host repeats, fits into what is left.
 CHECK = 5_200 * MS
-RENEW = 20_000 * MS  # the age at which a connection is replaced by a new one
-RENEW_SOON = 3_000 * MS  # the same, after trouble with the host, and where many set-ups share the handshake
+BURST = 100 * MS  # bytes that come closer together may have been held together
+RENEW = 20_000 * MS  # after so long without a note on a session that had some its connection is replaced
+RENEW_SOON = (
+    3_000 * MS
+)  # the age for the same, after trouble with the host or where set-ups share the handshake
 SET_UPS_SHARING = 16
 TROUBLE_REMEMBERED = 8_000 * MS
-REPEAT = 6_000 * MS  # so often a new connection lets a host repeat what it has written elsewhere
 # A host writes what has lost its connection on any open one, which may be as dead: it may repeat sooner then.
 REPEAT_AFTER_LOSS = 600 * MS
 LOSS_RECENT = 2_500 * MS
 CLOSE_ANSWERED = 250 * MS  # a host that lives closes its side as soon as it reads of this side's close
-LOST_REMEMBERED = 30_000 * MS  # how long a host may go on holding a lost connection for open
+LOST_REMEMBERED = 30_000 * MS  # how long a host may take a lost connection for one that passes
+# How long after its end a connection may be held for open by its host: the settings' idle time follows the
+# last message that the host writes there, and a session that is not confirmed is released by then.
+HELD_OPEN_BEYOND_IDLE = 10_000 * MS
 
 
 class LinkState(Enum):
-    """What a host may take a connection for, by what this side has seen of it."""
+    """What a host probably takes a connection for. It guides what is opened, and is no evidence."""
 
     OPEN = "open"
     CLOSING = "closed for writing by this side, read until its host closes it"
-    CLOSED = "closed, as its host knows"
+    CLOSED = "closed, and its host seems to know"
     LOST = "gone, and its host may hold it for open"
 
 
@@ -48,7 +61,7 @@
     RECEIVED = "its host has written on it"
     CLOSED_FOR_WRITING = "this side writes no more"
     ABORTED = "this side has closed it at once"
-    ENDED_BY_HOST = "its host has closed it in order"
+    ENDED_BY_HOST = "it was closed in order from the other side"
     RESET = "it was reset"
     GIVEN_UP = "its host has not closed it in time"
 
@@ -58,11 +71,11 @@
     (LinkState.OPEN, LinkInput.CLOSED_FOR_WRITING): LinkState.CLOSING,
     (LinkState.OPEN, LinkInput.ABORTED): LinkState.CLOSED,
     (LinkState.OPEN, LinkInput.ENDED_BY_HOST): LinkState.CLOSED,
-    (LinkState.OPEN, LinkInput.RESET): LinkState.LOST,  # perhaps on this side alone, by what lies between
+    (LinkState.OPEN, LinkInput.RESET): LinkState.LOST,
     (LinkState.CLOSING, LinkInput.RECEIVED): LinkState.CLOSING,
     (LinkState.CLOSING, LinkInput.ABORTED): LinkState.CLOSED,
     (LinkState.CLOSING, LinkInput.ENDED_BY_HOST): LinkState.CLOSED,
-    (LinkState.CLOSING, LinkInput.RESET): LinkState.CLOSED,  # a host may answer a close by a reset
+    (LinkState.CLOSING, LinkInput.RESET): LinkState.CLOSED,
     (LinkState.CLOSING, LinkInput.GIVEN_UP): LinkState.LOST,
 }
 
@@ -76,52 +89,85 @@
     """A connection to the host as far as the leases are concerned."""
 
     opened_at: int
-    confirmed_at: int  # all that its host wrote on it before has come
+    confirmed_at: int = 0  # all that its host wrote on it before has come; 0: nothing is known
     state: LinkState = LinkState.OPEN
+    received_at: int = 0  # when its host's bytes were read last; 0: none have come
     left_at: int = 0  # when it was first something else than OPEN
     ended_at: int = 0  # when it became CLOSED or LOST
+    expected_end: bool = True  # whether this side began to close it
 
     def take(self, happening: LinkInput, now: int) -> None:
         """Raises ImpossibleInput."""
         following = TRANSITIONS.get((self.state, happening))
         if following is None:
             raise ImpossibleInput(f"{self.state.name} {happening.name}")
-        self.state = following
-        if happening in (LinkInput.RECEIVED, LinkInput.ENDED_BY_HOST):
-            self.confirmed_at = now
-        if following is not LinkState.OPEN and not self.left_at:
+        if happening is LinkInput.RECEIVED:
+            self._received(now)
+        if self.state is LinkState.OPEN and following is not LinkState.OPEN:
             self.left_at = now
+            self.expected_end = happening is LinkInput.CLOSED_FOR_WRITING
+        self.state = following
         if following in (LinkState.CLOSED, LinkState.LOST):
             self.ended_at = now
 
+    def _received(self, now: int) -> None:
+        """What comes in one burst may have been held since the burst before: a box holds all that follows."""
+        if now - self.received_at >= BURST:
+            self.confirmed_at = max(self.confirmed_at, self.received_at)
+        self.received_at = now
+
+    def replied(self, sent_at: int) -> None:
+        """A reply has come on it to what was sent there at this time."""
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
 
 @dataclass(slots=True, eq=False)
 class SessionLease:
     """The lease on one session."""
 
-    since: int  # when it was established, or became known
+    established_at: int  # when it is known to have been established last; at first, when its set-up was sent
     origin: Link | None = None  # the connection of its set-up; None: an earlier process held it
+    origin_closed: bool = False  # whether its host has shown that it holds that connection for closed
+    noted_at: int = 0  # when a message about it has come last, whenever that was written; 0: none has
     doubted_at: int = 0  # when a release that may have been its own was ignored; 0: none was
 
+    def noted(self, link: Link, now: int) -> None:
+        """A message about it has come on this connection, behind all that is confirmed there."""
+        self.noted_at = now
+        self.established_at = max(self.established_at, link.confirmed_at)
+        if self.origin is not link and (self.origin is None or self.origin.ended_at):
+            self.origin_closed = True
+
 
 @dataclass(slots=True)
 class HostLease:
     """The connections that one host may hold for open."""
 
+    idle: int = LOST_REMEMBERED  # after which a host closes a connection where nothing passes; 0: never
     links: list[Link] = field(default_factory=list)
     last_opened_at: int = 0  # when the last one came up
-    last_ended_at: int = 0  # when the last one ended
     set_ups: int = 0  # sent since connections were last replaced
     troubled_at: int = 0  # when something was last lost or unanswered; 0: nothing was
+    followed_another: bool = False  # whether an earlier process had sessions here
 
     def opened(self, now: int) -> Link:
-        """A connection has come up. That it did proves nothing but that its host writes there from now on."""
-        # What has ended while there was no connection is written on this one first.
-        link = Link(opened_at=now, confirmed_at=now if self.links else self.last_ended_at or now)
+        """A connection has come up, which proves nothing."""
+        link = Link(opened_at=now)
         self.links.append(link)
         self.last_opened_at = now
         return link
 
+    def lost_unseen(self, now: int) -> None:
+        """The host may hold a connection for open that this process has never seen: a dial that was dropped,
+        or one of an earlier process."""
+        self.links.append(Link(opened_at=now, state=LinkState.CLOSED, left_at=now, ended_at=now))
+
+    def earlier_process(self, now: int) -> None:
+        """A session of an earlier process is known: the host may hold that one's connections for open."""
+        if not self.followed_another:
+            self.followed_another = True
+            self.lost_unseen(now)
+
     def set_up_sent(self) -> None:
         """A set-up has been sent."""
         self.set_ups += 1
@@ -129,67 +175,90 @@
     def take(self, link: Link, happening: LinkInput, now: int) -> None:
         """Something has happened to a connection. Raises ImpossibleInput."""
         link.take(happening, now)
-        if link.ended_at:
-            self.last_ended_at = now
         if link.state is LinkState.LOST or happening is LinkInput.ABORTED:
             self.troubled_at = now
-        if link.state is LinkState.CLOSED and link in self.links:
-            self.links.remove(link)
 
-    def known_closed(self, link: Link, now: int) -> None:
+    def known_closed(self, link: Link) -> None:
         """The host has sent what belongs to a lost connection on another one, so it knows of the loss."""
         if link.state is LinkState.LOST:
-            link.state, link.ended_at = LinkState.CLOSED, now
-            self.links.remove(link)
+            link.state = LinkState.CLOSED
+
+    # Evidence.
 
     def confirmed_at(self, session: SessionLease) -> int:
         """Up to when an end of this session would have been received."""
-        origin = session.origin
-        if origin is not None and origin.state is not LinkState.CLOSED:
-            confirmed = max(session.since, origin.confirmed_at)
-        else:
-            since = max(session.since, origin.ended_at if origin is not None else 0)
-            carriers = (max(since, link.confirmed_at) for link in self.links)
-            confirmed = min(carriers, default=max(since, self.last_ended_at))
+        confirmed = max(session.established_at, self._confirmed_by_links(session))
         return min(confirmed, session.doubted_at) if session.doubted_at else confirmed
 
-    def depends_on(self, session: SessionLease, link: Link) -> bool:
-        """Whether a host may write the end of this session on this connection."""
+    def _confirmed_by_links(self, session: SessionLease) -> int:
+        """The same, by what has come on every connection that its host may write the end on; 0: nothing."""
+        return min((link.confirmed_at for link in self.carriers(session)), default=0)
+
+    def carriers(self, session: SessionLease) -> list[Link]:
+        """The connections on which its host may write the end of a session: its own, as long as it is open
+        here, and after that every one that the host may hold for open."""
         origin = session.origin
-        return origin is link or origin is None or origin.state is LinkState.CLOSED
+        if origin is not None and not origin.ended_at:
+            return [origin]
+        return [link for link in self.links if not (link is origin and session.origin_closed)]
+
+    def to_check(self, sessions: Iterable[SessionLease], now: int) -> list[Link]:
+        """The open connections whose replies renew the lease of a session that needs it."""
+        due: dict[Link, None] = {}
+        for session in sessions:
+            if now - self.confirmed_at(session) >= CHECK:
+                due.update((link, None) for link in self.carriers(session) if link.state is LinkState.OPEN)
+        return [link for link in due if now - link.confirmed_at >= CHECK]
 
     def expired(self, session: SessionLease, now: int) -> bool:
         """Whether the session has to be ended by this side."""
         return now - self.confirmed_at(session) >= LEASE
 
+    def forget_ended(self, now: int) -> None:
+        """Forget the connections that the host has closed by now as idle."""
+        if self.idle > 0:
+            held = self.idle + HELD_OPEN_BEYOND_IDLE
+            self.links = [link for link in self.links if not link.ended_at or now - link.ended_at < held]
+
+    # What is opened and replaced, so that what a host repeats arrives soon.
+
     def has_lost(self, now: int) -> bool:
-        """Whether the host may hold a connection for open that passes nothing, and choose it for a session
-        that has no other."""
-        self.links = [
-            link
+        """Whether the host may choose a connection that passes nothing for a session that has no other."""
+        return any(
+            now - link.left_at >= CLOSE_ANSWERED
             for link in self.links
-            if link.state is not LinkState.LOST or now - link.ended_at < LOST_REMEMBERED
-        ]
-        return any(link.left_at and now - link.left_at >= CLOSE_ANSWERED for link in self.links)
+            if link.state is LinkState.CLOSING
+            or (link.state is LinkState.LOST and now - link.ended_at < LOST_REMEMBERED)
+        )
 
-    def renew_after(self, now: int) -> int:
-        """The age at which a connection is replaced."""
-        troubled = self.troubled_at and now - self.troubled_at < TROUBLE_REMEMBERED
-        return RENEW_SOON if troubled or self.set_ups >= SET_UPS_SHARING else RENEW
+    def silent(self, sessions: Iterable[SessionLease], now: int) -> list[SessionLease]:
+        """The sessions of which nothing has come lately: their ends may have been lost."""
+        return [each for each in sessions if now - max(each.established_at, each.noted_at) >= CHECK]
 
-    def outdated(self, now: int) -> list[Link]:
-        """The open connections whose place a new one has to take."""
-        age = self.renew_after(now)
-        return [link for link in self.links if link.state is LinkState.OPEN and now - link.opened_at >= age]
+    def outdated(self, sessions: Iterable[SessionLease], now: int) -> list[Link]:
+        """The open connections whose place a new one has to take: the end of a silent session may have been
+        lost there, and its host does not know."""
+        troubled = self.troubled_at and now - self.troubled_at < TROUBLE_REMEMBERED
+        soon = troubled or self.set_ups >= SET_UPS_SHARING
+        silent = self.silent(sessions, now)
+        fallen_silent = [each.origin for each in silent if each.noted_at and now - each.noted_at >= RENEW]
+        origins = [each.origin for each in silent] if soon else fallen_silent
+        return [
+            link
+            for link in self.links
+            if link.state is LinkState.OPEN and link in origins and now - link.opened_at >= RENEW_SOON
+        ]
 
-    def repeat_due(self, now: int) -> bool:
+    def repeat_due(self, sessions: Iterable[SessionLease], now: int) -> bool:
         """Whether a new connection is needed for what a host repeats there."""
+        leases = list(sessions)
+        origins = [each.origin for each in leases]
         lost = any(
-            REPEAT_AFTER_LOSS <= now - link.left_at < LOSS_RECENT for link in self.links if link.left_at
+            REPEAT_AFTER_LOSS <= now - link.left_at < LOSS_RECENT
+            and (link.state is not LinkState.CLOSED or (link in origins and not link.expected_end))
+            for link in self.links
+            if link.left_at
         )
-        return now - self.last_opened_at >= (REPEAT_AFTER_LOSS if lost else REPEAT)
-
-
-def check_due(link: Link, now: int) -> bool:
-    """Whether a connection has to show that it passes bytes."""
-    return link.state is LinkState.OPEN and now - link.confirmed_at >= CHECK
+        if lost:
+            return now - self.last_opened_at >= REPEAT_AFTER_LOSS
+        return bool(self.silent(leases, now)) and now - self.last_opened_at >= CHECK
--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -29,6 +29,7 @@
 
     connection: HostConnection
     timer: asyncio.TimerHandle
+    sent_at: int  # nanoseconds
 
 
 class CheckedHost(Protocol):
@@ -117,6 +118,9 @@
 
     # Leases.
 
+    def _leases(self) -> list[lease.SessionLease]:
+        return [attempt.lease for attempt in self.host.established()]
+
     def _replaceable(self, now: int) -> bool:
         """Whether open connections may be replaced by new ones: a host that drains refuses those, and one
         that holds a lost connection for open may choose it for what has no other."""
@@ -135,21 +139,13 @@
             connection.replace()
 
     def _to_replace(self, now: int) -> list[HostConnection]:
-        """The connections that are old, and those that are quiet: that their host closes them in their turn
-        shows that they passed bytes, and it repeats what did not arrive."""
-        outdated = self.host.lease.outdated(now)
-        quiet = [each for each in self._relied_on() if each.link and lease.check_due(each.link, now)]
-        return [each for each in self.host.connections if each.link in outdated or each in quiet]
-
-    def _relied_on(self) -> list[HostConnection]:
-        """The connections that the end of a session may come on."""
-        sessions = [attempt.lease for attempt in self.host.established()]
-        return [
-            connection
-            for connection in self.host.connections
-            if connection.link is not None
-            and any(self.host.lease.depends_on(session, connection.link) for session in sessions)
-        ]
+        """The connections that are old and, where nothing may be checked, those that are quiet: their host
+        repeats what it wrote there once it sees them closed."""
+        leases = self._leases()
+        links = self.host.lease.outdated(leases, now)
+        if not self.host.pool.limits.probes:
+            links += self.host.lease.to_check(leases, now)
+        return [each for each in self.host.connections if each.link in links]
 
     def _close_unused(self, now: int) -> None:
         """A connection that was opened for what its host repeats has served once that may have come."""
@@ -160,37 +156,26 @@
                 connection.replace()
 
     def _renew(self, now: int) -> None:
-        """See that every connection that a release may come on is replaced in time, or else checked."""
+        """See that what confirms the sessions comes in time, and that a host may repeat what did not."""
         self._close_unused(now)
-        replaced = False
-        if self._replaceable(now) and self.host.pool.room():
-            replaced = bool(self._to_replace(now))
-        else:
-            self._check_quiet(now)
-        if replaced or self.host.lease.repeat_due(now):
+        replaced = self._replaceable(now) and self.host.pool.room() and self._to_replace(now)
+        if replaced or self.host.lease.repeat_due(self._leases(), now):
             self._dial()
 
-    def _check_quiet(self, now: int) -> None:
+    def _check(self, now: int) -> None:
         checked = {check.connection for check in self._replies.values()}
-        for connection in self._relied_on():
-            link = connection.link
-            if link is not None and connection not in checked and lease.check_due(link, now):
+        due = self.host.lease.to_check(self._leases(), now)
+        for connection in self.host.connections:
+            if connection.link in due and connection not in checked:
                 self._ping(connection)
 
-    def _end_expired(self, established: list[HostAttempt], now: int) -> None:
+    def _end_expired(self, now: int) -> None:
         if now - self._resumed_at < READ_AFTER_STOP:
             return
-        for attempt in established:
-            if self._confirmable(attempt, now) and self.host.lease.expired(attempt.lease, now):
+        for attempt in list(self.host.established()):
+            if self.host.lease.expired(attempt.lease, now):
                 self.host.end_unconfirmed(attempt)
 
-    def _confirmable(self, attempt: HostAttempt, now: int) -> bool:
-        """Whether evidence could be had by now: at a host that drains, connections cannot be replaced, and
-        without probes they cannot be checked."""
-        origin = attempt.lease.origin
-        lost = origin is not None and origin.state is lease.LinkState.LOST
-        return lost or self.host.pool.limits.probes or self._replaceable(now)
-
     # Checks.
 
     def suspect(self, connection: HostConnection) -> None:
@@ -217,15 +202,16 @@
             return
         session = pool.next_probe()
         timer = pool.later(liveness.CHECK_REPLY, lambda: self._not_answered(session))
-        self._replies[session] = SentCheck(connection, timer)
+        self._replies[session] = SentCheck(connection, timer, pool.now())
         connection.write(frames.frame(frames.PING, session, {frames.CAUSE: b"\x00"}))
 
-    def answered(self, session: int) -> bool:
-        """A reply has come; whether it was one to a check."""
-        check = self._replies.pop(session, None)
-        if check is not None:
+    def answered(self, session: int, connection: HostConnection) -> None:
+        """A reply has come on this connection, perhaps to a check."""
+        check = self._replies.get(session)
+        if check is not None and check.connection is connection:
+            del self._replies[session]
             check.timer.cancel()
-        return check is not None
+            connection.replied(check.sent_at)
 
     def _not_answered(self, session: int) -> None:
         connection = self._replies.pop(session).connection
@@ -247,12 +233,13 @@
         if now - self._watched_at >= STOPPED:
             self._resumed_at = now
         self._watched_at = now
-        established = list(self.host.established())
-        if not established:
+        self.host.lease.forget_ended(now)
+        if not any(True for _ in self.host.established()):
             self.host.last_received = now
             self.reopen_since = 0
             return
         self._close_those_behind()
+        self._check(now)
         if not self.host.connections and not self.host.connecting:
             # The list may have dropped it while a connection was still hoped for.
             self.host.keep_reachable()
@@ -262,7 +249,7 @@
             self._dial()
         else:
             self._renew(now)
-        self._end_expired(established, now)
+        self._end_expired(now)
 
     def _host_silent(self, now: int) -> bool:
         """Whether the host has answered nothing, a check of an open connection among it."""
@@ -274,7 +261,14 @@
             others = [
                 other.heard_at for other in self.host.connections if other.carried and other is not connection
             ]
-            if liveness.is_behind(connection.received_at, connection.suspect_since, max(others, default=0)):
+            if not liveness.is_behind(
+                connection.received_at, connection.suspect_since, max(others, default=0)
+            ):
+                continue
+            if self.host.pool.limits.probes and connection.suspect_since <= connection.received_at:
+                # It may only be idle: its sessions would depend on others without need.
+                self._check_behind(connection)
+            else:
                 self.host.pool.events.record(
                     "host_connection_behind",
                     host=self.host.name,
@@ -283,6 +277,17 @@
                 )
                 connection.replace()
 
+    def _check_behind(self, connection: HostConnection) -> None:
+        """Others carry bytes and it does not: it is asked."""
+        now = self.host.pool.now()
+        link = connection.link
+        on_it = [each for each in self._leases() if each.origin is link]
+        checked = any(check.connection is connection for check in self._replies.values())
+        if link is None or not on_it or checked:
+            return
+        if now - max(link.confirmed_at, link.opened_at) >= liveness.CONNECTION_BEHIND:
+            self._ping(connection)
+
     # Releases that the gateway sends.
 
     def release_sent(self, message: bytes, connection: HostConnection | None) -> None:
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -123,6 +123,7 @@
         "sent",
         "session",
         "written",
+        "written_at",
     )
 
     def __init__(self, driver_attempt: Try, host: Host, sent: SetupPayload) -> None:
@@ -131,13 +132,16 @@
         self.origin: HostConnection | None = None  # the connection of its set-up
         self.written = self.established = False  # its set-up was written; it has been answered
         self.description = ""
+        self.written_at = 0  # when its set-up was written; 0: it was not
         self.lease = SessionLease(host.pool.now())
 
     def establish(self, description: str) -> None:
         """The host has answered, on the connection of its set-up."""
         self.description, self.established = description, True
         link = self.origin.link if self.origin is not None else None
-        self.lease = SessionLease(self.host.pool.now(), link)
+        if link is not None:
+            link.replied(self.written_at)
+        self.lease = SessionLease(self.written_at, link)
 
 
 class HostConnection(asyncio.BufferedProtocol):
@@ -186,9 +190,9 @@
             return
         late = self in self.host.late
         if why is None and not late and self.host.has_sessions():
-            self._wait_on()
+            self.wait_on()
         else:
-            self.drop()
+            self.drop(refused=isinstance(why, ConnectionRefusedError))
         if late:
             return
         if why is not None and why.errno in SHORTAGE:
@@ -198,17 +202,22 @@
             if why is None:
                 self.host.reopen("dial_timed_out")
 
-    def _wait_on(self) -> None:
+    def wait_on(self) -> None:
         """Nothing waits for it any more, but its host may see it come up and write releases there."""
         self.host.connecting.pop(self, None)
         self.host.late[self] = None
+        self.for_check = True
+        if self.timer is not None:
+            self.timer.cancel()
         self.timer = self.host.pool.later(LATE_DIAL * self.host.pool.limits.connect, self.overdue)
 
-    def drop(self) -> None:
-        """It is waited for no longer."""
+    def drop(self, refused: bool = False) -> None:
+        """It is waited for no longer; where it was refused, its host has not seen it come up."""
         if self.state == "connecting":
             self.state = "closed"
-            self._log_dropped_dial()
+            if not refused:
+                self._log_dropped_dial()
+                self.host.lease.lost_unseen(self.host.pool.now())
             self.host.connecting.pop(self, None)
             self.host.late.pop(self, None)
             self.host.pool.opened -= 1
@@ -249,7 +258,7 @@
             return
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
         self.used = self.received_at = self.heard_at = self.host.pool.now()
-        self._note(LinkInput.RECEIVED)
+        self.note(LinkInput.RECEIVED)
         self.suspect_since = 0
         self.received_any = True
         self.stuck_since = self.used if self.reader.partial else 0
@@ -273,7 +282,13 @@
         if self.partial_since == began and self.state != "closed":
             self.host.reopen("partial_message")
 
-    def _note(self, happening: LinkInput) -> None:
+    def replied(self, sent_at: int) -> None:
+        """A reply has come to what was written on it at this time."""
+        if self.link is not None:
+            self.link.replied(sent_at)
+
+    def note(self, happening: LinkInput) -> None:
+        """Something has happened to it, for the leases."""
         if self.link is not None:
             self.host.lease.take(self.link, happening, self.host.pool.now())
 
@@ -321,7 +336,7 @@
         if self.state == "closing":
             self.host.pool.closing -= 1
         ending = self._how_ended(why)
-        self._note(ending)
+        self.note(ending)
         self.state = "closed"
         self.host.connections.pop(self, None)
         if self.timer is not None:
@@ -330,7 +345,7 @@
         if self.transport is not None:
             self.transport.abort() if why == "not understood" else self.transport.close()
         self.host.lost(self, why)
-        if unread and self.sessions:
+        if unread:
             self.host.reopen("closed_unread")
 
     def _how_ended(self, why: str) -> LinkInput:
@@ -352,7 +367,7 @@
     def _close_for_writing(self) -> None:
         """Read on until the host has closed its side too."""
         self.state = "closing"
-        self._note(LinkInput.CLOSED_FOR_WRITING)
+        self.note(LinkInput.CLOSED_FOR_WRITING)
         self.host.connections.pop(self, None)
         self.host.pool.closing += 1
         self.timer = self.host.pool.later(self.host.pool.limits.connect, self._not_closed_by_host)
--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -56,6 +56,7 @@
         if attempt is None:
             return  # a second copy, or one ahead of its set-up
         attempt.connection = None
+        connection.replied(attempt.written_at)
         if message.description is None:
             self.host.forget(attempt)
             self.host.pool.callbacks.log_line(f"host {self.host.name}: an answer without a description")
@@ -116,6 +117,7 @@
         self.host.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
 
     def _refused(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
+        connection.replied(attempt.written_at)
         connection.carried.refused(attempt.driver_attempt.playback.number, message.cause)
         ending = BINARY_ENDINGS.get(("release", message.cause), BINARY_ENDINGS["release", None])
         self.host.finish(attempt, ending, message.load(self.host.pool.limits.report))
@@ -136,11 +138,13 @@
     def _noted(self, connection: HostConnection, message: Frame) -> None:
         attempt, note = self.host.attempts.get(message.session), message.note
         if attempt is not None and note is not None:
-            self._show_loss_known(attempt, connection)
+            self._renew_lease(attempt, connection)
             self.host.pool.callbacks.noted(attempt.driver_attempt, *note)
 
-    def _show_loss_known(self, attempt: HostAttempt, connection: HostConnection) -> None:
-        """What concerns a session comes on another connection only once its host holds its own for closed."""
+    def _renew_lease(self, attempt: HostAttempt, connection: HostConnection) -> None:
+        """Its host holds it for established, and its connection for closed where this is another one."""
+        if connection.link is not None:
+            attempt.lease.noted(connection.link, self.host.pool.now())
         origin = attempt.lease.origin
         if origin is not None and origin is not connection.link:
             if origin.state is LinkState.LOST:
@@ -150,11 +154,11 @@
                     connection=connection.name,
                     session=session_name(attempt.session),
                 )
-            self.host.lease.known_closed(origin, self.host.pool.now())
+            self.host.lease.known_closed(origin)
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
         if not self.host.probe_answered(connection, message):
-            self.host.checks.answered(message.session)
+            self.host.checks.answered(message.session, connection)
         if connection.state == "leaving":
             connection.retire()
 
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -136,6 +136,7 @@
             return
         one.handle = host.attempts[sent.session] = attempt = HostAttempt(one, host, sent)
         attempt.established = True
+        host.lease.earlier_process(self.now())
         host.keep_reachable()
 
     def close_try(self, one: Try) -> None:
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -39,7 +39,7 @@
         self.late: dict[HostConnection, None] = {}  # those that may come up yet, for what the host repeats
         self.last_received = pool.now()
         self.failures = 0
-        self.lease = HostLease()
+        self.lease = HostLease(pool.limits.idle)
         self.checks = HostChecks(self)
         self.messages = HostMessages(self)
 
@@ -96,7 +96,7 @@
         """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
         needed = len(self.waiting) + bool(self.probes or self.backlog or self.has_sessions())
         for connection in list(self.connecting)[needed:]:
-            connection.drop()
+            connection.wait_on() if self.has_sessions() else connection.drop()
 
     def connected(self, connection: HostConnection) -> None:
         self.connecting.pop(connection, None)
@@ -269,6 +269,7 @@
             host=self.name,
             connection=attempt.origin.name if attempt.origin is not None else "",
             connection_state=origin.state.name.lower() if origin is not None else "",
+            established_ms=(now - attempt.lease.established_at) // MS,
             unconfirmed_ms=(now - self.lease.confirmed_at(attempt.lease)) // MS,
             links=",".join(link.state.name.lower() for link in self.lease.links),
         )
@@ -322,7 +323,7 @@
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
             return
         _, plan, title, description = attempt.sent
-        attempt.written = True
+        attempt.written, attempt.written_at = True, now
         self.lease.set_up_sent()
         self.pool.events.trace(
             "attempt_sent",
@@ -462,6 +463,7 @@
         if probe is None:
             return False
         probe.timer.cancel()
+        connection.replied(probe.began)
         ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
         load = message.load(self.pool.limits.report)
         self.pool.callbacks.probed(self.number, ending, max(0, self.pool.now() - probe.began), load)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from itertools import product
 
 import pytest
 
 from burlmast.lease import (
+    BURST,
     CHECK,
     CLOSE_ANSWERED,
+    HELD_OPEN_BEYOND_IDLE,
     LEASE,
     LOSS_RECENT,
     LOST_REMEMBERED,
     MS,
     RENEW,
     RENEW_SOON,
-    REPEAT,
     REPEAT_AFTER_LOSS,
     SET_UPS_SHARING,
     TRANSITIONS,
@@ -25,7 +27,6 @@
     LinkInput,
     LinkState,
     SessionLease,
-    check_due,
 )
 
 AT = 100_000 * MS
@@ -52,54 +53,107 @@
             link.take(happening, AT + 1)
 
 
-def test_a_session_is_confirmed_by_its_own_connection_and_by_no_other() -> None:
+def test_a_session_is_confirmed_by_replies_on_its_own_connection_and_by_no_other() -> None:
     host = HostLease()
     own, other = host.opened(AT), host.opened(AT)
     session = SessionLease(AT, own)
-    host.take(other, LinkInput.RECEIVED, AT + LEASE)
+    other.replied(AT + LEASE)
     assert host.confirmed_at(session) == AT
     assert host.expired(session, AT + LEASE)
-    host.take(own, LinkInput.RECEIVED, AT + 5)
+    own.replied(AT + 5)
+    assert host.confirmed_at(session) == AT + 5
     assert not host.expired(session, AT + LEASE)
 
 
-def test_a_session_without_a_connection_of_its_own_is_confirmed_by_all_that_may_carry_its_end() -> None:
+def test_bytes_confirm_only_what_was_written_before_the_burst_of_bytes_before_them() -> None:
     host = HostLease()
-    one, two = host.opened(AT), host.opened(AT)
-    handed_over = SessionLease(AT)
-    host.take(one, LinkInput.RECEIVED, AT + 7)
-    assert host.confirmed_at(handed_over) == AT
-    host.take(two, LinkInput.RECEIVED, AT + 5)
-    assert host.confirmed_at(handed_over) == AT + 5
+    own = host.opened(AT)
+    session = SessionLease(AT, own)
+    host.take(own, LinkInput.RECEIVED, AT + 1_000 * MS)
+    assert host.confirmed_at(session) == AT, "it may have been held since the connection came up"
+    host.take(own, LinkInput.RECEIVED, AT + 6_000 * MS)
+    assert host.confirmed_at(session) == AT + 1_000 * MS
+    host.take(own, LinkInput.RECEIVED, AT + 6_000 * MS + BURST - 1)
+    assert host.confirmed_at(session) == AT + 1_000 * MS, "what comes together was held together"
 
 
-def test_a_connection_that_its_host_closed_in_order_has_delivered_what_it_carried() -> None:
+def test_a_message_about_a_session_confirms_it_up_to_what_is_confirmed_where_it_came() -> None:
     host = HostLease()
-    own = host.opened(AT)
+    own, other = host.opened(AT), host.opened(AT)
     session = SessionLease(AT, own)
-    host.take(own, LinkInput.CLOSED_FOR_WRITING, AT + 1)
-    assert host.confirmed_at(session) == AT, "its host has not closed it yet"
+    host.take(own, LinkInput.RESET, AT + 1)
+    other.replied(AT + 5)
+    assert host.confirmed_at(session) == AT
+    session.noted(other, AT + 9)
+    assert host.confirmed_at(session) == AT + 5
+
+
+def test_a_session_without_a_connection_of_its_own_is_confirmed_by_all_that_may_carry_its_end() -> None:
+    host = HostLease()
+    one, two = host.opened(AT), host.opened(AT)
+    lost = SessionLease(AT)
+    one.replied(AT + 7)
+    assert host.confirmed_at(lost) == AT
+    two.replied(AT + 5)
+    assert host.confirmed_at(lost) == AT + 5
+    host.opened(AT + 6)
+    assert host.confirmed_at(lost) == AT, "its end may be on the new one, on which nothing has come yet"
+
+
+@pytest.mark.parametrize("seen_by_host_alone", [HostLease.lost_unseen, HostLease.earlier_process])
+def test_a_connection_that_only_the_host_has_seen_may_carry_an_end(
+    seen_by_host_alone: Callable[[HostLease, int], None],
+) -> None:
+    host = HostLease(idle=30_000 * MS)
+    session = SessionLease(AT)
+    seen_by_host_alone(host, AT)
+    host.opened(AT).replied(AT + LEASE)
+    assert host.expired(session, AT + LEASE)
+    host.forget_ended(AT + 30_000 * MS + HELD_OPEN_BEYOND_IDLE + 1)
+    assert not host.expired(session, AT + LEASE), "the host has closed it as idle"
+
+
+def test_a_host_that_never_closes_idle_connections_may_hold_an_ended_one_for_good() -> None:
+    host = HostLease(idle=0)
+    host.take(host.opened(AT), LinkInput.ENDED_BY_HOST, AT)
+    host.forget_ended(AT + 1_000 * LEASE)
+    assert len(host.links) == 1
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        (LinkInput.ENDED_BY_HOST,),
+        (LinkInput.RESET,),
+        (LinkInput.ABORTED,),
+        (LinkInput.CLOSED_FOR_WRITING, LinkInput.ENDED_BY_HOST),
+        (LinkInput.CLOSED_FOR_WRITING, LinkInput.RESET),
+        (LinkInput.CLOSED_FOR_WRITING, LinkInput.ABORTED),
+        (LinkInput.CLOSED_FOR_WRITING, LinkInput.GIVEN_UP),
+    ],
+)
+def test_no_end_of_a_connection_confirms_anything(path: tuple[LinkInput, ...]) -> None:
+    host = HostLease()
+    own = host.opened(AT)
+    session, handed_over = SessionLease(AT, own), SessionLease(AT)
+    for happening in path:
+        host.take(own, happening, AT + 1)
     new = host.opened(AT + 2)
-    host.take(own, LinkInput.ENDED_BY_HOST, AT + 3)
-    host.take(new, LinkInput.RECEIVED, AT + 4)
-    assert host.confirmed_at(session) == AT + 4
+    new.replied(AT + LEASE)
+    assert host.expired(session, AT + LEASE)
+    assert host.expired(handed_over, AT + LEASE), "its host may choose the lost connection for it"
+    assert not host.expired(SessionLease(AT + 2, new), AT + LEASE)
 
 
 @pytest.mark.parametrize("path", [(LinkInput.RESET,), (LinkInput.CLOSED_FOR_WRITING, LinkInput.GIVEN_UP)])
-def test_a_connection_that_was_lost_is_relied_on_no_more_and_its_session_ends_with_its_lease(
+def test_a_host_may_choose_a_lost_connection_and_none_is_replaced_meanwhile(
     path: tuple[LinkInput, ...],
 ) -> None:
     host = HostLease()
     own = host.opened(AT)
-    session, later = SessionLease(AT, own), SessionLease(AT)
     for happening in path:
         host.take(own, happening, AT + 1)
-    new = host.opened(AT + 2)
-    host.take(new, LinkInput.RECEIVED, AT + LEASE)
     assert host.has_lost(AT + 1 + CLOSE_ANSWERED)
-    assert host.expired(session, AT + LEASE)
-    assert host.expired(later, AT + LEASE), "its host may choose the lost connection for it"
-    assert not host.expired(SessionLease(AT + 2, new), AT + LEASE)
 
 
 def test_a_message_on_another_connection_shows_that_its_host_knows_of_the_loss() -> None:
@@ -108,38 +162,47 @@
     session = SessionLease(AT, own)
     host.take(own, LinkInput.RESET, AT + 1)
     new = host.opened(AT + 2)
-    host.known_closed(own, AT + 3)
-    host.take(new, LinkInput.RECEIVED, AT + 4)
-    assert host.confirmed_at(session) == AT + 4
+    new.replied(AT + 3)
+    host.known_closed(own)
+    session.noted(new, AT + 4)
+    new.replied(AT + LEASE)
+    assert host.confirmed_at(session) == AT + LEASE
     assert not host.has_lost(AT + LEASE)
 
 
 def test_a_message_of_another_session_confirms_none_whose_end_fell_into_the_gap_of_their_connection() -> None:
     host = HostLease()
     own = host.opened(AT)
-    lost = SessionLease(AT, own)
+    lost, noted = SessionLease(AT, own), SessionLease(AT, own)
     host.take(own, LinkInput.RESET, AT + 1)
     new = host.opened(AT + 2)
-    host.known_closed(own, AT + 3)
-    host.take(new, LinkInput.RECEIVED, AT + LEASE)
+    new.replied(AT + 3)
+    host.known_closed(own)
+    noted.noted(new, AT + 4)
+    new.replied(AT + LEASE)
     assert host.expired(lost, AT + LEASE)
+    assert not host.expired(noted, AT + LEASE)
 
 
 def test_a_close_in_order_confirms_nothing_that_was_not_read_before_it() -> None:
     host = HostLease()
     own = host.opened(AT)
     session = SessionLease(AT, own)
+    own.replied(AT + 1)
     new = host.opened(AT + 1)
     host.take(own, LinkInput.ENDED_BY_HOST, AT + 2)
-    host.take(new, LinkInput.RECEIVED, AT + LEASE)
-    assert host.expired(session, AT + LEASE)
+    new.replied(AT + LEASE)
+    assert host.confirmed_at(session) == AT + 1
 
 
 def test_a_lost_connection_is_forgotten_once_its_host_has_closed_it_as_idle() -> None:
-    host = HostLease()
+    host = HostLease(idle=LOST_REMEMBERED)
     host.take(host.opened(AT), LinkInput.RESET, AT)
     assert host.has_lost(AT + LOST_REMEMBERED - 1)
     assert not host.has_lost(AT + LOST_REMEMBERED)
+    host.forget_ended(AT + LOST_REMEMBERED + HELD_OPEN_BEYOND_IDLE - 1)
+    assert host.links
+    host.forget_ended(AT + LOST_REMEMBERED + HELD_OPEN_BEYOND_IDLE)
     assert not host.links
 
 
@@ -147,39 +210,71 @@
     host = HostLease()
     own = host.opened(AT)
     session = SessionLease(AT, own, doubted_at=AT + 1)
-    host.take(own, LinkInput.RECEIVED, AT + LEASE)
+    own.replied(AT + LEASE)
+    session.noted(own, AT + LEASE)
     assert host.expired(session, AT + 1 + LEASE)
 
 
-def test_connections_are_replaced_by_age_and_sooner_after_trouble_or_many_set_ups() -> None:
-    for prepare, age in (
-        (lambda host: None, RENEW),
-        (lambda host: setattr(host, "troubled_at", AT), RENEW_SOON),
-        (lambda host: [host.set_up_sent() for _ in range(SET_UPS_SHARING)], RENEW_SOON),
+def test_the_connection_of_a_silent_session_is_replaced_after_trouble_or_many_set_ups() -> None:
+    for prepare in (
+        lambda host: setattr(host, "troubled_at", AT),
+        lambda host: [host.set_up_sent() for _ in range(SET_UPS_SHARING)],
     ):
         host = HostLease()
         link = host.opened(AT)
+        host.opened(AT)
+        silent = [SessionLease(AT - CHECK, link)]
+        assert not host.outdated(silent, AT + RENEW_SOON), "TCP delivers or ends a connection"
         prepare(host)
-        assert not host.outdated(AT + age - 1)
-        assert host.outdated(AT + age) == [link]
+        assert not host.outdated(silent, AT + RENEW_SOON - 1)
+        assert host.outdated(silent, AT + RENEW_SOON) == [link]
+        silent[0].noted(link, AT)
+        assert not host.outdated(silent, AT + RENEW_SOON)
 
 
-def test_a_quiet_connection_is_checked() -> None:
+def test_the_connection_of_a_session_that_has_fallen_silent_is_replaced() -> None:
     host = HostLease()
     link = host.opened(AT)
-    assert not check_due(link, AT + CHECK - 1)
-    assert check_due(link, AT + CHECK)
-    host.take(link, LinkInput.CLOSED_FOR_WRITING, AT + 1)
-    assert not check_due(link, AT + CHECK)
+    never, fallen = SessionLease(AT, link), SessionLease(AT, link)
+    fallen.noted(link, AT + 1)
+    assert not host.outdated([never, fallen], AT + RENEW)
+    assert not host.outdated([never], AT + 10 * RENEW)
+    assert host.outdated([never, fallen], AT + RENEW + 1) == [link]
+
+
+def test_the_open_connections_that_may_confirm_a_session_are_checked_once_it_needs_that() -> None:
+    host = HostLease()
+    own, other = host.opened(AT), host.opened(AT)
+    session, handed_over = SessionLease(AT, own), SessionLease(AT)
+    assert not host.to_check([session, handed_over], AT + CHECK - 1)
+    assert host.to_check([session], AT + CHECK) == [own]
+    assert host.to_check([handed_over], AT + CHECK) == [own, other]
+    session.established_at = AT + CHECK
+    assert not host.to_check([session], AT + CHECK)
+    host.take(own, LinkInput.CLOSED_FOR_WRITING, AT + 1)
+    assert host.to_check([handed_over], AT + CHECK) == [other]
 
 
 def test_a_host_may_repeat_on_a_new_connection_in_time_and_sooner_after_a_loss() -> None:
     host = HostLease()
     link = host.opened(AT)
-    assert not host.repeat_due(AT + REPEAT - 1)
-    assert host.repeat_due(AT + REPEAT)
-    host.take(link, LinkInput.RESET, AT + REPEAT)
-    host.opened(AT + REPEAT)
-    assert not host.repeat_due(AT + REPEAT + REPEAT_AFTER_LOSS - 1)
-    assert host.repeat_due(AT + REPEAT + REPEAT_AFTER_LOSS)
-    assert not host.repeat_due(AT + REPEAT + LOSS_RECENT)
+    leases = [SessionLease(AT, link)]
+    assert not host.repeat_due(leases, AT + CHECK - 1)
+    assert host.repeat_due(leases, AT + CHECK)
+    leases[0].noted(link, AT + CHECK)
+    assert not host.repeat_due(leases, AT + CHECK), "its host says that it goes on"
+    host.take(link, LinkInput.RESET, AT + CHECK)
+    host.opened(AT + CHECK)
+    assert not host.repeat_due(leases, AT + CHECK + REPEAT_AFTER_LOSS - 1)
+    assert host.repeat_due(leases, AT + CHECK + REPEAT_AFTER_LOSS)
+    assert not host.repeat_due(leases, AT + CHECK + LOSS_RECENT)
+
+
+def test_a_close_that_this_side_began_and_its_host_answered_is_no_loss() -> None:
+    host = HostLease()
+    link = host.opened(AT)
+    leases = [SessionLease(AT, link)]
+    host.take(link, LinkInput.CLOSED_FOR_WRITING, AT)
+    assert host.repeat_due(leases, AT + REPEAT_AFTER_LOSS)
+    host.take(link, LinkInput.ENDED_BY_HOST, AT + 1)
+    assert not host.repeat_due(leases, AT + REPEAT_AFTER_LOSS)
