A release that was read before its session is handed over ends that session

What callers saw: nothing comes for a session that ended at its host around a restart of the gateway. Cause: the host writes the release on the first connection of the new process; the session is unknown there, the release is ignored, and the hand-over that follows makes it a session that nobody ends. Change: releases of unknown sessions with a cause that only an established one gets are remembered for 10 s (256 at most), and end a session that is handed over later; record release_before_hand_over.

--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -8,13 +8,16 @@
 from burlmast import api
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
-from burlmast.lease import HostLease, LinkState
+from burlmast.lease import MS, HostLease, LinkState
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
 from burlmast.node.frames import Frame
 from burlmast.node.host_checks import HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
 
+UNKNOWN_REMEMBERED = 10_000 * MS  # releases of sessions that may be handed over yet
+UNKNOWN_MOST = 256
+
 
 class MessagingHost(Protocol):
     """A host as its messages see it."""
@@ -44,6 +47,7 @@
 
     def __init__(self, host: MessagingHost) -> None:
         self.host = host
+        self._unknown: dict[int, tuple[int | None, int]] = {}  # by session: a release's cause, and when
 
     def received(self, connection: HostConnection, message: Frame) -> None:
         """One message has come."""
@@ -81,6 +85,7 @@
     def _released(self, connection: HostConnection, message: Frame) -> None:
         attempt = self.host.attempts.get(message.session)
         if attempt is None:
+            self._remember_unknown(message)
             self._ignore_release(connection, message, "unknown_session")
         elif attempt.driver_attempt.state == "flowing":
             self._session_released(attempt, connection, message)
@@ -116,6 +121,26 @@
         load = message.load(self.host.pool.limits.report)
         self.host.finish(attempt, BINARY_ENDS.get(cause, BINARY_ENDS[None]), load)
 
+    def _remember_unknown(self, message: Frame) -> None:
+        """It may be handed over yet, after its end."""
+        if message.cause in BINARY_ENDS:
+            now = self.host.pool.now()
+            self._unknown = {
+                session: (cause, at)
+                for session, (cause, at) in list(self._unknown.items())[-UNKNOWN_MOST:]
+                if now - at < UNKNOWN_REMEMBERED
+            }
+            self._unknown[message.session] = message.cause, now
+
+    def handed_over(self, attempt: HostAttempt) -> None:
+        """A session is known from now on; whether it has ended by then was read before."""
+        cause, at = self._unknown.pop(attempt.session, (None, 0))
+        if at and self.host.pool.now() - at < UNKNOWN_REMEMBERED:
+            self.host.pool.events.record(
+                "release_before_hand_over", session=session_name(attempt.session), host=self.host.name
+            )
+            self.host.finish(attempt, BINARY_ENDS[cause], api.Load())
+
     def _refused(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
         connection.replied(attempt.written_at)
         connection.carried.refused(attempt.driver_attempt.playback.number, message.cause)
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -138,6 +138,7 @@
         attempt.established = True
         host.lease.earlier_process(self.now())
         host.keep_reachable()
+        host.messages.handed_over(attempt)
 
     def close_try(self, one: Try) -> None:
         """The driver has ended the try."""
