A release that overtakes its session's answer on another connection ends the lease

What callers saw: a session that was over before its held answer arrived stood for good. Cause: while its set-up is out on one connection, a release with cause 16 or 31 on another was ignored (attempt_out_elsewhere) and left no trace in any state; the answer then made it a session.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -115,6 +115,7 @@
     __slots__ = (
         "connection",
         "description",
+        "doubted_at",
         "driver_attempt",
         "established",
         "host",
@@ -133,6 +134,7 @@
         self.written = self.established = False  # its set-up was written; it has been answered
         self.description = ""
         self.written_at = 0  # when its set-up was written; 0: it was not
+        self.doubted_at = 0  # when a release came that may end the session before its answer; 0: none has
         self.lease = SessionLease(host.pool.now())
 
     def establish(self, description: str) -> None:
@@ -141,7 +143,7 @@
         link = self.origin.link if self.origin is not None else None
         if link is not None:
             link.replied(self.written_at)
-        self.lease = SessionLease(self.written_at, link)
+        self.lease = SessionLease(self.written_at, link, doubted_at=self.doubted_at)
 
 
 class HostConnection(asyncio.BufferedProtocol):
--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -15,6 +15,7 @@
 from burlmast.node.host_checks import HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
 
+ENDS_ESTABLISHED = frozenset((16, 31))  # causes that only an established session gets
 UNKNOWN_REMEMBERED = 10_000 * MS  # releases of sessions that may be handed over yet
 UNKNOWN_MOST = 256
 
@@ -92,6 +93,8 @@
         elif attempt.connection is connection:
             self._refused(attempt, connection, message)
         else:
+            if message.cause in ENDS_ESTABLISHED:  # its answer may be held back on the other connection
+                attempt.doubted_at = attempt.doubted_at or self.host.pool.now()
             self._ignore_release(connection, message, "attempt_out_elsewhere")
 
     def _session_released(self, attempt: HostAttempt, connection: HostConnection, message: Frame) -> None:
