Leases end where connections may take a second to come up, and in a process that stalls often

What callers saw: with a connection time of 1 s or more in the settings, no session was ever ended by its lease. Cause: hosts are looked after once in a connection's time, and a second between two looks counts as a stop of the process, after which leases wait for 0.5 s: they waited for good. A process that stalls for over 1 s again and again had the same. Change: hosts are looked after every 0.25 s at the latest, and a stop delays leases once within the time of one.

--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -230,7 +230,7 @@
 
     def watch(self, now: int) -> None:
         """Called now and then."""
-        if now - self._watched_at >= STOPPED:
+        if now - self._watched_at >= STOPPED and now - self._resumed_at >= lease.LEASE:
             self._resumed_at = now
         self._watched_at = now
         self.host.lease.forget_ended(now)
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -18,6 +18,7 @@
 from burlmast.node.names import Entry
 
 MS = 1_000_000
+WATCH_PERIOD = 250 * MS  # at most
 CROSSING = 50 * MS  # what was written so lately may have crossed a close, by the protocol
 
 
@@ -179,4 +180,4 @@
         now = self.now()
         for host in list(self.hosts.values()):
             host.watch(now)
-        self.later(self.limits.connect, self._watch)
+        self.later(min(self.limits.connect, WATCH_PERIOD), self._watch)
--- a/tests/test_node_session_ends.py
+++ b/tests/test_node_session_ends.py
@@ -294,6 +294,20 @@
     play(tmp_path, work, settings=ONE_ATTEMPT)
 
 
+@pytest.mark.parametrize("connect_ms", [250.0, 1000.0])
+def test_session_whose_release_is_lost_with_its_connection_is_ended_in_time(
+    tmp_path: Path, connect_ms: float
+) -> None:
+    async def work(here: Scene) -> None:
+        own = await here.viewer()
+        await here.establish(own, FIRST)
+        here.host.links[0].transport.abort()  # the release was lost there, and is not repeated
+        await own.hear_end(FIRST, 8.05)
+
+    allowed = {**SETTINGS["allowed"], "connectTimeoutMs": connect_ms}
+    play(tmp_path, work, settings={**SETTINGS, "allowed": allowed})
+
+
 def test_end_that_is_acknowledged_is_sent_once(tmp_path: Path) -> None:
     async def work(here: Scene) -> None:
         own, other = await here.viewer(), await here.viewer()
