A session whose host stops its regular notes is ended, though its connection goes on well

Cause: what comes in order behind a release is taken for proof that it has come. TCP makes that so; a box that ends both connections and passes messages between them does not. Change: after two notes on a session its host is expected to go on: none for 7.3 s, and for twice the longest gap between them, ends it.

--- a/burlmast/lease.py
+++ b/burlmast/lease.py
@@ -30,10 +30,9 @@
 # At this age the evidence is renewed: a reply, or what a host repeats, fits into what is left.
 CHECK = 5_200 * MS
 BURST = 100 * MS  # bytes that come closer together may have been held together
-RENEW = 20_000 * MS  # after so long without a note on a session that had some its connection is replaced
-RENEW_SOON = (
-    3_000 * MS
-)  # the age for the same, after trouble with the host or where set-ups share the handshake
+RENEW = 3_000 * MS  # the age at which the connection of a silent session may be replaced
+NOTES_REGULAR = 2  # notes after which a host is expected to go on with them
+GAPS_SILENT = 2  # times the longest gap between a session's notes, after which they have stopped
 SET_UPS_SHARING = 16
 TROUBLE_REMEMBERED = 8_000 * MS
 # A host writes what has lost its connection on any open one, which may be as dead: it may repeat sooner then.
@@ -129,15 +128,25 @@
     origin: Link | None = None  # the connection of its set-up; None: an earlier process held it
     origin_closed: bool = False  # whether its host has shown that it holds that connection for closed
     noted_at: int = 0  # when a message about it has come last, whenever that was written; 0: none has
+    notes: int = 0
+    longest_gap: int = 0  # between two of them, and before the first
     doubted_at: int = 0  # when a release that may have been its own was ignored; 0: none was
 
     def noted(self, link: Link, now: int) -> None:
         """A message about it has come on this connection, behind all that is confirmed there."""
+        self.longest_gap = max(self.longest_gap, now - (self.noted_at or self.established_at))
         self.noted_at = now
+        self.notes += 1
         self.established_at = max(self.established_at, link.confirmed_at)
         if self.origin is not link and (self.origin is None or self.origin.ended_at):
             self.origin_closed = True
 
+    def fallen_silent(self, now: int) -> bool:
+        """Whether its host has stopped its regular notes: its release may have been lost, though what comes
+        behind it on the same connection arrives."""
+        regular = self.notes >= NOTES_REGULAR
+        return regular and now - self.noted_at >= max(LEASE, GAPS_SILENT * self.longest_gap)
+
 
 @dataclass(slots=True)
 class HostLease:
@@ -212,7 +221,7 @@
 
     def expired(self, session: SessionLease, now: int) -> bool:
         """Whether the session has to be ended by this side."""
-        return now - self.confirmed_at(session) >= LEASE
+        return now - self.confirmed_at(session) >= LEASE or session.fallen_silent(now)
 
     def forget_ended(self, now: int) -> None:
         """Forget the connections that the host has closed by now as idle."""
@@ -241,12 +250,11 @@
         troubled = self.troubled_at and now - self.troubled_at < TROUBLE_REMEMBERED
         soon = troubled or self.set_ups >= SET_UPS_SHARING
         silent = self.silent(sessions, now)
-        fallen_silent = [each.origin for each in silent if each.noted_at and now - each.noted_at >= RENEW]
-        origins = [each.origin for each in silent] if soon else fallen_silent
+        origins = [each.origin for each in silent] if soon else []
         return [
             link
             for link in self.links
-            if link.state is LinkState.OPEN and link in origins and now - link.opened_at >= RENEW_SOON
+            if link.state is LinkState.OPEN and link in origins and now - link.opened_at >= RENEW
         ]
 
     def repeat_due(self, sessions: Iterable[SessionLease], now: int) -> bool:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -17,7 +17,6 @@
     LOST_REMEMBERED,
     MS,
     RENEW,
-    RENEW_SOON,
     REPEAT_AFTER_LOSS,
     SET_UPS_SHARING,
     TRANSITIONS,
@@ -224,22 +223,37 @@
         link = host.opened(AT)
         host.opened(AT)
         silent = [SessionLease(AT - CHECK, link)]
-        assert not host.outdated(silent, AT + RENEW_SOON), "TCP delivers or ends a connection"
+        assert not host.outdated(silent, AT + RENEW), "TCP delivers or ends a connection"
         prepare(host)
-        assert not host.outdated(silent, AT + RENEW_SOON - 1)
-        assert host.outdated(silent, AT + RENEW_SOON) == [link]
+        assert not host.outdated(silent, AT + RENEW - 1)
+        assert host.outdated(silent, AT + RENEW) == [link]
         silent[0].noted(link, AT)
-        assert not host.outdated(silent, AT + RENEW_SOON)
+        assert not host.outdated(silent, AT + RENEW)
 
 
-def test_the_connection_of_a_session_that_has_fallen_silent_is_replaced() -> None:
+@pytest.mark.parametrize(
+    ("notes", "silent_for", "ended"),
+    [
+        ([1_500, 3_000], LEASE - 1, False),
+        ([1_500, 3_000], LEASE, True),
+        ([1_500, 7_000], LEASE, False),  # twice the longest gap is 11 s
+        ([1_500, 7_000], 11_000 * MS, True),
+        ([1_500], 10 * LEASE, False),
+        ([], 10 * LEASE, False),
+    ],
+)
+def test_a_session_whose_regular_notes_stop_is_ended_whatever_comes_behind_them(
+    notes: list[int], silent_for: int, ended: bool
+) -> None:
     host = HostLease()
     link = host.opened(AT)
-    never, fallen = SessionLease(AT, link), SessionLease(AT, link)
-    fallen.noted(link, AT + 1)
-    assert not host.outdated([never, fallen], AT + RENEW)
-    assert not host.outdated([never], AT + 10 * RENEW)
-    assert host.outdated([never, fallen], AT + RENEW + 1) == [link]
+    session = SessionLease(AT, link)
+    last = AT
+    for after in notes:
+        last = AT + after * MS
+        session.noted(link, last)
+    link.replied(last + silent_for)
+    assert host.expired(session, last + silent_for) is ended
 
 
 def test_the_open_connections_that_may_confirm_a_session_are_checked_once_it_needs_that() -> None:
