--- a/burlmast/shutdown.py
+++ b/burlmast/shutdown.py
@@ -13,7 +13,7 @@
 MS = 1_000_000
 LONGEST_DEADLINE = 3_000 * MS  # a longer one of a class counts as this
 GRACE = 700 * MS
-MARGIN = 300 * MS  # before the earliest kill: all that is held is answered then, by a process that may be busy
+MARGIN = 300 * MS  # before the earliest kill: all that is held is answered then, by a busy process
 SHORTEST = 50 * MS  # in less time no host is likely to answer
 
 
