Sound connections are never replaced: closing one leaves its sessions without proof of their ends

Cause: connections with a silent session were still replaced after sixteen set-ups, which orphans every session on them; notes come on one session of a gateway at a host, so the others have no evidence of their own. Handed-over sessions rested on a connection of the earlier process for 40 s, and on each new connection from zero. Change: where checks are allowed no connection is replaced unless it has left one unanswered; none that was opened for repeats is closed while a session depends on all. A new connection begins with what is known of the others: its host has not written on it before.

--- a/burlmast/lease.py
+++ b/burlmast/lease.py
@@ -30,16 +30,11 @@
 # At this age the evidence is renewed: a reply, or what a host repeats, fits into what is left.
 CHECK = 5_200 * MS
 BURST = 100 * MS  # bytes that come closer together may have been held together
-RENEW = 3_000 * MS  # the age at which the connection of a silent session may be replaced
 NOTES_REGULAR = 2  # notes after which a host is expected to go on with them
 GAPS_SILENT = 2  # times the longest gap between a session's notes, after which they have stopped
-SET_UPS_SHARING = 16
-TROUBLE_REMEMBERED = 8_000 * MS
 # A host writes what has lost its connection on any open one, which may be as dead: it may repeat sooner then.
 REPEAT_AFTER_LOSS = 600 * MS
 LOSS_RECENT = 2_500 * MS
-CLOSE_ANSWERED = 250 * MS  # a host that lives closes its side as soon as it reads of this side's close
-LOST_REMEMBERED = 30_000 * MS  # how long a host may take a lost connection for one that passes
 # How long after its end a connection may be held for open by its host: the settings' idle time follows the
 # last message that the host writes there, and a session that is not confirmed is released by then.
 HELD_OPEN_BEYOND_IDLE = 10_000 * MS
@@ -152,45 +147,25 @@
 class HostLease:
     """The connections that one host may hold for open."""
 
-    idle: int = LOST_REMEMBERED  # after which a host closes a connection where nothing passes; 0: never
+    idle: int = 0  # nanoseconds after which a host closes a connection where nothing passes; 0: never
     links: list[Link] = field(default_factory=list)
     last_opened_at: int = 0  # when the last one came up
-    set_ups: int = 0  # sent since connections were last replaced
-    troubled_at: int = 0  # when something was last lost or unanswered; 0: nothing was
-    followed_another: bool = False  # whether an earlier process had sessions here
 
     def opened(self, now: int) -> Link:
-        """A connection has come up, which proves nothing."""
-        link = Link(opened_at=now)
+        """A connection has come up, which proves nothing: what is known of the others holds for it too, since
+        its host has not written on it before."""
+        link = Link(opened_at=now, confirmed_at=min((each.confirmed_at for each in self.links), default=0))
         self.links.append(link)
         self.last_opened_at = now
         return link
 
     def lost_unseen(self, now: int) -> None:
-        """The host may hold a connection for open that this process has never seen: a dial that was dropped,
-        or one of an earlier process."""
+        """The host may hold a connection for open that this side has never seen: a dial that was dropped."""
         self.links.append(Link(opened_at=now, state=LinkState.CLOSED, left_at=now, ended_at=now))
 
-    def earlier_process(self, now: int) -> None:
-        """A session of an earlier process is known: the host may hold that one's connections for open."""
-        if not self.followed_another:
-            self.followed_another = True
-            self.lost_unseen(now)
-
-    def set_up_sent(self) -> None:
-        """A set-up has been sent."""
-        self.set_ups += 1
-
     def take(self, link: Link, happening: LinkInput, now: int) -> None:
         """Something has happened to a connection. Raises ImpossibleInput."""
         link.take(happening, now)
-        if link.state is LinkState.LOST or happening is LinkInput.ABORTED:
-            self.troubled_at = now
-
-    def known_closed(self, link: Link) -> None:
-        """The host has sent what belongs to a lost connection on another one, so it knows of the loss."""
-        if link.state is LinkState.LOST:
-            link.state = LinkState.CLOSED
 
     # Evidence.
 
@@ -211,6 +186,10 @@
             return [origin]
         return [link for link in self.links if not (link is origin and session.origin_closed)]
 
+    def depends_on_all(self, session: SessionLease) -> bool:
+        """Whether a session has no connection of its own."""
+        return session.origin is None or bool(session.origin.ended_at)
+
     def to_check(self, sessions: Iterable[SessionLease], now: int) -> list[Link]:
         """The open connections whose replies renew the lease of a session that needs it."""
         due: dict[Link, None] = {}
@@ -229,34 +208,12 @@
             held = self.idle + HELD_OPEN_BEYOND_IDLE
             self.links = [link for link in self.links if not link.ended_at or now - link.ended_at < held]
 
-    # What is opened and replaced, so that what a host repeats arrives soon.
-
-    def has_lost(self, now: int) -> bool:
-        """Whether the host may choose a connection that passes nothing for a session that has no other."""
-        return any(
-            now - link.left_at >= CLOSE_ANSWERED
-            for link in self.links
-            if link.state is LinkState.CLOSING
-            or (link.state is LinkState.LOST and now - link.ended_at < LOST_REMEMBERED)
-        )
+    # What is opened, so that what a host repeats arrives soon.
 
     def silent(self, sessions: Iterable[SessionLease], now: int) -> list[SessionLease]:
         """The sessions of which nothing has come lately: their ends may have been lost."""
         return [each for each in sessions if now - max(each.established_at, each.noted_at) >= CHECK]
 
-    def outdated(self, sessions: Iterable[SessionLease], now: int) -> list[Link]:
-        """The open connections whose place a new one has to take: the end of a silent session may have been
-        lost there, and its host does not know."""
-        troubled = self.troubled_at and now - self.troubled_at < TROUBLE_REMEMBERED
-        soon = troubled or self.set_ups >= SET_UPS_SHARING
-        silent = self.silent(sessions, now)
-        origins = [each.origin for each in silent] if soon else []
-        return [
-            link
-            for link in self.links
-            if link.state is LinkState.OPEN and link in origins and now - link.opened_at >= RENEW
-        ]
-
     def repeat_due(self, sessions: Iterable[SessionLease], now: int) -> bool:
         """Whether a new connection is needed for what a host repeats there."""
         leases = list(sessions)
--- a/burlmast/node/host_checks.py
+++ b/burlmast/node/host_checks.py
@@ -103,7 +103,7 @@
         now = self.host.pool.now()
         if now - self.host.last_received < liveness.HOST_SILENT:
             self.host.failures = 0  # a host that says nothing may still take connections
-        self._replace_older()
+        self._replace_quiet()
         self._repeat_releases(connection, now)
         if connection.dialled_at < self.reopen_since:
             return
@@ -122,33 +122,30 @@
         return [attempt.lease for attempt in self.host.established()]
 
     def _replaceable(self, now: int) -> bool:
-        """Whether open connections may be replaced by new ones: a host that drains refuses those, and one
-        that holds a lost connection for open may choose it for what has no other."""
+        """Whether open connections may be replaced by new ones: a host that drains refuses those."""
         host = self.host
         refuses = self._refused_at and now - self._refused_at < REFUSAL_REMEMBERED
-        return not (host.draining or refuses or (host.lease.has_lost(now) and host.pool.limits.probes))
+        return not (host.draining or refuses)
 
-    def _replace_older(self) -> None:
-        now = self.host.pool.now()
-        if not self._replaceable(now):
-            return
-        replaced = self._to_replace(now)
-        if replaced:
-            self.host.lease.set_ups = 0
-        for connection in replaced:
+    def _replace_quiet(self) -> None:
+        """Where nothing may be checked, connections that are quiet are replaced: their host repeats what it
+        wrote there once it sees them closed."""
+        for connection in self._to_replace(self.host.pool.now()):
             connection.replace()
 
     def _to_replace(self, now: int) -> list[HostConnection]:
-        """The connections that are old and, where nothing may be checked, those that are quiet: their host
-        repeats what it wrote there once it sees them closed."""
-        leases = self._leases()
-        links = self.host.lease.outdated(leases, now)
-        if not self.host.pool.limits.probes:
-            links += self.host.lease.to_check(leases, now)
+        if self.host.pool.limits.probes or not self._replaceable(now):
+            return []
+        links = self.host.lease.to_check(self._leases(), now)
         return [each for each in self.host.connections if each.link in links]
 
     def _close_unused(self, now: int) -> None:
-        """A connection that was opened for what its host repeats has served once that may have come."""
+        """A connection that was opened for what its host repeats has served once that may have come.
+
+        Where the end of a session may come on any connection none is closed: whether it came there would be
+        unknown from then on."""
+        if any(self.host.lease.depends_on_all(each) for each in self._leases()):
+            return
         for connection in list(self.host.connections):
             unused = connection.for_check and not connection.carried and not connection.sessions
             old = now - connection.dialled_at >= UNUSED_FOR
@@ -158,8 +155,8 @@
     def _renew(self, now: int) -> None:
         """See that what confirms the sessions comes in time, and that a host may repeat what did not."""
         self._close_unused(now)
-        replaced = self._replaceable(now) and self.host.pool.room() and self._to_replace(now)
-        if replaced or self.host.lease.repeat_due(self._leases(), now):
+        replace = self.host.pool.room() and self._to_replace(now)
+        if replace or self.host.lease.repeat_due(self._leases(), now):
             self._dial()
 
     def _check(self, now: int) -> None:
@@ -190,7 +187,6 @@
                 sessions=len(connection.sessions),
             )
         connection.suspect_since = connection.suspect_since or now
-        self.host.lease.troubled_at = now
         if connection.sessions and now - self._checked_at >= liveness.SUSPECT_AGAIN:
             self._checked_at = now
             self._ping(connection)  # a slow answer is no sign that the connection passes nothing
--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -8,7 +8,7 @@
 from burlmast import api
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
-from burlmast.lease import MS, HostLease, LinkState
+from burlmast.lease import MS
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
 from burlmast.node.frames import Frame
@@ -25,7 +25,6 @@
 
     name: str
     pool: Pool
-    lease: HostLease
     checks: HostChecks
     attempts: dict[int, HostAttempt]
     connections: dict[HostConnection, None]
@@ -171,18 +170,17 @@
 
     def _renew_lease(self, attempt: HostAttempt, connection: HostConnection) -> None:
         """Its host holds it for established, and its connection for closed where this is another one."""
-        if connection.link is not None:
-            attempt.lease.noted(connection.link, self.host.pool.now())
-        origin = attempt.lease.origin
-        if origin is not None and origin is not connection.link:
-            if origin.state is LinkState.LOST:
-                self.host.pool.events.record(
-                    "host_loss_known",
-                    host=self.host.name,
-                    connection=connection.name,
-                    session=session_name(attempt.session),
-                )
-            self.host.lease.known_closed(origin)
+        if connection.link is None:
+            return
+        known = attempt.lease.origin_closed
+        attempt.lease.noted(connection.link, self.host.pool.now())
+        if attempt.lease.origin_closed and not known and attempt.lease.origin is not None:
+            self.host.pool.events.record(
+                "host_loss_known",
+                host=self.host.name,
+                connection=connection.name,
+                session=session_name(attempt.session),
+            )
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
         if not self.host.probe_answered(connection, message):
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -137,7 +137,6 @@
             return
         one.handle = host.attempts[sent.session] = attempt = HostAttempt(one, host, sent)
         attempt.established = True
-        host.lease.earlier_process(self.now())
         host.keep_reachable()
         host.messages.handed_over(attempt)
 
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -324,7 +324,6 @@
             return
         _, plan, title, description = attempt.sent
         attempt.written, attempt.written_at = True, now
-        self.lease.set_up_sent()
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
