A set-up given up on a connection that is leaving is released before that is closed

Cause: give_up forgot the attempt first; a leaving connection with nothing out is closed then, and the release was written to a closed connection. Change: the release is written first. Evidence: the test failed before and passes; loopback passes.

--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -380,10 +380,12 @@
         """The driver has ended the try."""
         connection = attempt.connection
         late = self.pool.now() >= attempt.driver_attempt.due
-        self.forget(attempt)
         if connection is not None and attempt.written:
+            # Written first: a connection that is leaving is closed once nothing is out on it.
             message = frames.release(attempt.session)
             connection.send_on_session(message, RELEASE_REPEATED, gives_up=attempt.session)
+        self.forget(attempt)
+        if connection is not None and attempt.written:
             if late:
                 # What answers nothing may answer nothing else on that connection either.
                 connection.retire()
--- a/burlmast/trials/play.py
+++ b/burlmast/trials/play.py
@@ -330,6 +330,8 @@
         def strike(connection: RelayedConnection) -> None:
             dialled(connection)
             self.link.on_dialled = dialled
+            if self.cell.duration != FOR_GOOD and time.monotonic() >= self.records.passes_again:
+                return
             struck.append(connection)
             self._strike_connection(connection)
 
@@ -351,7 +353,8 @@
 
     def _open_front(self) -> None:
         self.records.passes_again = time.monotonic()
-        self._keep(self.front.connect())
+        for _ in range(2 if self.cell.around is Around.NEXT_TOO else 1):
+            self._keep(self.front.connect())
 
     # The end.
 
--- a/tests/test_node_loopback.py
+++ b/tests/test_node_loopback.py
@@ -26,6 +26,7 @@
     playing,
     release,
     run,
+    set_ups,
     until,
 )  # fmt: skip
 
@@ -545,3 +546,20 @@
 
     run(work, tmp_path)
     assert json.loads((tmp_path / "config.json").read_text())["name"] == "n0"
+
+
+def test_a_set_up_given_up_on_a_connection_that_is_leaving_is_released_at_its_host(tmp_path: Path) -> None:
+    async def work(one: Platform) -> None:
+        for host in one.hosts:
+            host.does = lambda message: b""
+        line = await one.line()
+        line.set_up()
+        await until(lambda: set_ups(one))
+        asked, _ = set_ups(one)[0]
+        for each in one.program.hosts.hosts.values():
+            for connection in list(each.connections):
+                connection.retire()
+        line.say("release", cause=16)
+        await until(lambda: asked.of(frames.RELEASE))
+
+    run(work, tmp_path)
