--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,65 +1,72 @@
-"""A session that stands belongs to no connection: one of several idle connections to a host is reset."""
+"""Rule 3: nothing new to a host later than the grace after it was told to drain; the name server is slow."""
 
 import asyncio
 import time
 
 from standin import CannotRun, Scene, main, settings, verdict
 
-TOLD_EVERY = 3.75  # seconds: the deployment's toldEveryMs
-WATCHED = 14.0  # seconds after the reset
+GRACE, SLACK = 0.25, 0.05  # seconds: the deployment's drainGraceMs, and the protocol's 50 ms
+SLOW = 2.5  # seconds that each answer of the name server takes, from one moment on
+PLANS = (("bill-explainer", 1.0, 800.0), ("onboarding", 3.0, 1000.0))
 
 
-async def notes(scene: Scene, noted: dict) -> None:
-    """What is asked of the link, on one session of the gateway at each host."""
-    while True:
-        await asyncio.sleep(TOLD_EVERY)
-        for host, session in noted.items():
-            host.note(session, b"wire", 0.4)
+def terms() -> dict:
+    plans = [
+        {"credit": credit, "goalTimeMs": target, "group": "all", "hardLimitMs": 3000.0, "lateWorth": 0.0,
+         "memorySpanMs": 5000.0, "name": name, "semantics": "repeatable", "streamed": True}
+        for name, credit, target in PLANS
+    ]  # fmt: skip
+    return settings(
+        requestClasses=plans,
+        report={"source": "pull"},
+        rules={"drainGraceMs": 1000 * GRACE, "fallMultiple": 2.0, "fallMs": 1000.0},
+        familyInfo={
+            "cells": 6, "classFloor": [0, 0], "classLive": [False, False], "classSeats": [0, 0],
+            "classTop": [3, 3], "scaleByClass": [1.0, 1.2], "refusesFrom": 0.0,
+        },
+    )  # fmt: skip
+
+
+async def ask(scene: Scene, viewers, number: int) -> None:
+    name = f"{0x9B1F03AA00000000 + number:016x}"
+    plan = PLANS[number % 3 == 2][0]
+    viewers.set_up(name, plan, 2800, "7f3a9c21e0b4d655", f"home:{number % 6};copies:4;top:3;viewer:{name}")
 
 
 async def case(scene: Scene) -> int:
-    for place in range(4):
-        host = await scene.add_host(f"s-00c41f{place:02x}", place)
-        host.after = 0.25  # several set-ups are out at a time, each on a connection of its own
-    gateway = await scene.add_gateway("n1", settings())
+    for place in range(6):
+        await scene.add_host(f"s-00c41f{place:02x}", place)
+    gateway = await scene.add_gateway("n1", terms())
+    await asyncio.sleep(12.5)  # until hosts that may have started with it are warm
     viewers = await scene.viewers(gateway)
-    names = [f"{0x9B1F03AA00000000 + number:016x}" for number in range(12)]
-    for name in names:
-        viewers.set_up(name, "recorded", 2800, "7f3a9c21e0b4d655", f"home:0;copies:4;top:3;viewer:{name}")
-        await asyncio.sleep(0.06)
-    if not await viewers.wait(lambda: all(name in viewers.answers for name in names), 5):
-        raise CannotRun("not every request was answered")
-    noted = {host: host.standing()[0].number for host in scene.hosts if host.standing()}
-    telling = asyncio.ensure_future(notes(scene, noted))
-    await asyncio.sleep(9)
-    chosen = None
-    for host in noted:
-        carriers = {one.origin for one in host.standing()} & set(host.links)
-        apart = [w for w in carriers if w is not host.sessions[noted[host]].origin]
-        if len(carriers) >= 2 and apart:
-            chosen = host, apart[0]
-            break
-    if chosen is None:
-        raise CannotRun("no host has sessions on two connections")
-    host, writer = chosen
-    on_it = [one for one in host.standing() if one.origin is writer]
-    others = [one for one in host.links if one is not writer]
-    scene.record(
-        f"host {host.name} has {len(host.links)} connections; {len(on_it)} sessions were set up on the one"
-        f" that {'is' if scene.trouble else 'would be'} reset"
-    )
-    if scene.trouble:
-        host.reset(writer)
-    at = time.monotonic()
-    await asyncio.sleep(WATCHED)
-    telling.cancel()
-    if not any(one in host.links for one in others):
-        raise CannotRun("no connection from before the reset is open")
+    number, event, drained_at = 0, 0, 0.0
+    began = time.monotonic()
+    drained = scene.hosts[:2]
+    while time.monotonic() - began < 13:
+        if not event and time.monotonic() - began > 4:
+            drained_at = time.monotonic()
+            if scene.trouble:
+                scene.names.delay = SLOW
+                scene.record(f"name server: from now on each answer takes {SLOW} s")
+            for host in drained:
+                scene.names.draining.add(host.name)
+                host.refuses = True
+            event = scene.names.event(f"{', '.join(host.name for host in drained)} drain")
+        await ask(scene, viewers, number)
+        number += 1
+        await asyncio.sleep(0.2)
+    await asyncio.sleep(1)
+    before = [at for host in drained for at, _ in host.setups if at < drained_at]
+    if len(before) < 3 or event not in scene.names.told:
+        raise CannotRun(f"{len(before)} set-ups to those hosts before the drain")
+    told = scene.names.told[event]
+    scene.record(f"told {told - drained_at:.3f} s after the event")
     broken = [
-        f"session {one.number:016x} stood at {host.name}, which was up and reached all the time, and was cut"
-        f" by the gateway {one.ended_at - at:.3f} s after the reset of one connection"
-        for one in host.sessions.values()
-        if one.ended == "released by the gateway" and f"{one.number:016x}" in viewers.answers
+        f"host {host.name} got the set-up {session:016x} {at - told:.3f} s after the gateway was told"
+        f" ({at - drained_at:.3f} s after the event)"
+        for host in drained
+        for at, session in host.setups
+        if at > told + GRACE + SLACK
     ]
     return verdict(scene.record, broken)
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -87,6 +87,9 @@
         self.takes: Callable[[int], bool] = lambda session: True  # whether a set-up is answered
         self.after = 0.01  # seconds a set-up takes
         self.started_ms = 0.0
+        self.awake = asyncio.Event()  # while it is not set, nothing is read or written
+        self.awake.set()
+        self.fillers: list[socket.socket] = []
         self.refuses = False  # set-ups are refused, as by a host that drains: they never run
 
     async def start(self) -> None:
@@ -105,6 +108,7 @@
             while True:
                 head = await reader.readexactly(2)
                 body = await reader.readexactly(int.from_bytes(head, "big"))
+                await self.awake.wait()
                 kind, session = struct.unpack(">BQ", body[:9])
                 parameters = parameters_of(body[9:])
                 if kind != PING:
@@ -144,6 +148,7 @@
 
     async def _answer(self, session: int, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.after)
+        await self.awake.wait()
         self.sessions[session] = Session(session, writer, time.monotonic())
         self.record(f"host {self.name}: answers {session:016x}, it stands")
         writer.write(frame(ANSWER, session, {DESCRIPTION: self.description(session).encode()}))
@@ -165,7 +170,7 @@
 
     def note(self, session: int, kind: bytes, figure: float) -> None:
         writer = self.writer_for(session)
-        if writer is not None and not self.sessions[session].ended:
+        if writer is not None and self.awake.is_set() and not self.sessions[session].ended:
             self.record(f"host {self.name}: notes {kind.decode()} {figure} on {session:016x}")
             writer.write(frame(NOTE, session, {NEWS: kind, FIGURE: f"{figure}".encode()}))
 
@@ -189,9 +194,40 @@
         one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
+    def die(self) -> None:
+        """The process dies: its connections are reset, its sessions cut, and new connections refused."""
+        self.record(f"host {self.name}: dies")
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self.links):
+            self.reset(writer)
+        for one in self.standing():
+            self._over(one.number, "its host has died")
+
+    async def vanish(self) -> None:
+        """The machine goes silent: connections stay open and silent, and new ones never come up."""
+        self.record(f"host {self.name}: vanishes")
+        self.awake.clear()
+        for one in self.standing():
+            self._over(one.number, "its host has vanished")
+        assert self.server is not None
+        listening = self.server.sockets[0]
+        asyncio.get_running_loop().remove_reader(listening.fileno())
+        with socket.socket(fileno=os.dup(listening.fileno())) as same:
+            same.listen(0)
+        for _ in range(3):  # what waits to be accepted fills the queue, so that no more comes up
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(self.address)
+            self.fillers.append(one)
+        await asyncio.sleep(0)
+
     def close(self) -> None:
+        self.awake.set()
         if self.server is not None:
             self.server.close()
+        for one in self.fillers:
+            one.close()
         for writer in list(self.links):
             writer.transport.abort()
 
