--- a/review/standin.py
+++ b/review/standin.py
@@ -103,7 +103,7 @@
         if self.repeat:
             writer.write(b"".join(self.repeat))
             self.repeat.clear()
-        open_here: set[asyncio.Task[None]] = set()
+        open_here: dict[int, asyncio.Task[None]] = {}  # the set-ups that are open on this connection
         try:
             while True:
                 head = await reader.readexactly(2)
@@ -119,17 +119,18 @@
                     if self.refuses:
                         writer.write(frame(RELEASE, session, {CAUSE: b"\x22"}))
                     elif self.takes(session):
-                        task = asyncio.ensure_future(self._answer(session, writer))
-                        open_here.add(task)
-                        task.add_done_callback(open_here.discard)
+                        open_here[session] = asyncio.ensure_future(self._answer(session, writer))
                 elif kind == PING:
                     self._pong(session, writer, parameters)
-                elif kind == RELEASE and session in self.sessions:
-                    self._over(session, "released by the gateway")
+                elif kind == RELEASE:
+                    if session in open_here:
+                        open_here.pop(session).cancel()  # given up
+                    if session in self.sessions:
+                        self._over(session, "released by the gateway")
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
-            for task in open_here:
+            for task in open_here.values():
                 task.cancel()
             self.record(f"host {self.name}: connection {peer} closed")
             self.links.remove(writer)
@@ -543,7 +544,7 @@
         scene = Scene(Path(script).resolve().parent)
         try:
             return await asyncio.wait_for(case(scene), within)
-        except (CannotRun, OSError, TimeoutError) as why:
+        except Exception as why:  # a fault of the script says nothing about the rule
             scene.record(f"CANNOT RUN: {type(why).__name__}: {why}")
             print(f"cannot run: {type(why).__name__}: {why}")
             return CANNOT_RUN
