--- a/review/standin.py
+++ b/review/standin.py
@@ -83,6 +83,7 @@
         self.links: list[asyncio.StreamWriter] = []
         self.sessions: dict[int, Session] = {}
         self.setups: list[tuple[float, int]] = []  # when a set-up came whole, and its session
+        self.carried: set[asyncio.StreamWriter] = set()  # connections on which a set-up has come
         self.repeat: list[bytes] = []  # releases that the next connection carries again
         self.takes: Callable[[int], bool] = lambda session: True  # whether a set-up is answered
         self.after = 0.01  # seconds a set-up takes
@@ -116,6 +117,7 @@
                     self.record(f"host {self.name}: on {peer} {NAMES.get(kind, kind)} {session:016x} {what}")
                 if kind == SETUP:
                     self.setups.append((time.monotonic(), session))
+                    self.carried.add(writer)
                     if self.refuses:
                         writer.write(frame(RELEASE, session, {CAUSE: b"\x22"}))
                     elif self.takes(session):
@@ -134,6 +136,7 @@
                 task.cancel()
             self.record(f"host {self.name}: connection {peer} closed")
             self.links.remove(writer)
+            self.carried.discard(writer)
             if not asyncio.get_running_loop().is_closed():
                 writer.close()
 
