--- a/review/2/case.py
+++ b/review/2/case.py
@@ -34,7 +34,8 @@
 async def ask(scene: Scene, viewers, number: int) -> None:
     name = f"{0x9B1F03AA00000000 + number:016x}"
     plan = PLANS[number % 3 == 2][0]
-    viewers.set_up(name, plan, 2800, "7f3a9c21e0b4d655", f"home:{number % HOSTS};copies:4;top:3;viewer:{name}")
+    extras = f"home:{number % HOSTS};copies:4;top:3;viewer:{name}"
+    viewers.set_up(name, plan, 2800, "7f3a9c21e0b4d655", extras)
 
 
 async def case(scene: Scene) -> int:
@@ -63,7 +64,7 @@
     before = [at for host in drained for at, _ in host.setups if at < drained_at]
     if len(before) < 3 or event not in scene.names.told:
         raise CannotRun(f"{len(before)} set-ups to those hosts before the drain")
-    # The later of what the pages offer: the first answer that holds it, or 4.5 s from when answers stayed out.
+    # The latest that the pages offer: an answer that holds it, and 4.5 s from when answers stayed out.
     told = scene.names.told[event]
     if scene.trouble:
         told = max(told, drained_at + SILENT)
--- a/review/standin.py
+++ b/review/standin.py
@@ -558,7 +558,7 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, work.cancel)
         try:
             return await asyncio.wait_for(work, within)
-        except (Exception, asyncio.CancelledError) as why:  # a fault of the script says nothing about the rule
+        except (Exception, asyncio.CancelledError) as why:  # it says nothing about the rule
             scene.record(f"CANNOT RUN: {type(why).__name__}: {why}")
             print(f"cannot run: {type(why).__name__}: {why}")
             return CANNOT_RUN
