Log: changes of the host list, and sockets to the name server that are replaced

Change: host_list_changed (serial, hosts concerned, how long the answer took) and name_server_socket_replaced.

--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -27,6 +27,7 @@
 from burlmast.node.viewers import SessionView, ViewerListener
 
 BAD_CONFIGURATION = 2
+MS = 1_000_000  # nanoseconds
 LINES = 50  # of one kind in the log; it counts as memory
 
 
@@ -68,7 +69,7 @@
             configuration.report,
             configuration.terms.allowed.probes,
         )
-        events = EventLog(self.now, self.log.write)
+        self.events = events = EventLog(self.now, self.log.write)
         self.hosts = HostPool(limits, self, self.now, events)
         self.listener = ViewerListener(
             configuration, self.now, self.log.say, configuration.parts.viewers, events
@@ -84,6 +85,7 @@
             self._heard,
             self.log.say,
             self.listener.make_room,
+            events,
         )
         self._lives = 0
         self._beginning = False
@@ -173,6 +175,12 @@
     def _answered(self, serial: int, entries: list[Entry], asked_at: int) -> bool:
         changed = self.roster.answered(serial, entries, self.now())
         if changed:
+            self.events.record(
+                "host_list_changed",
+                serial=serial,
+                changed=len(changed),
+                answer_took_ms=(self.now() - asked_at) // MS,
+            )
             self._list(Scope.CHANGES, self.roster.rows(changed), changed)
         if changed is not None:
             self._heard(asked_at)
--- a/burlmast/node/resolver.py
+++ b/burlmast/node/resolver.py
@@ -7,6 +7,7 @@
 from typing import cast
 
 from burlmast.node.descriptors import SHORTAGE
+from burlmast.node.eventlog import EventLog
 from burlmast.node.names import Entry, Unsound, query, read_answer
 from burlmast.node.roster import Asking
 
@@ -54,12 +55,13 @@
         same: Callable[[int], None],
         trouble: Callable[[str], None],
         shortage: Callable[[], object],
+        events: EventLog,
     ) -> None:
         """`told` takes a serial, a whole list and when it was asked for, and says whether it is not older
         than what is known; `same` takes when an answer was asked for that says what the last one said;
         `shortage` hears that there is no descriptor."""
         self._address, self._now, self._told, self.trouble = address, now, told, trouble
-        self._same, self._shortage = same, shortage
+        self._same, self._shortage, self._events = same, shortage, events
         self._asking = Asking(seed)
         self.question: Question | None = None
         self._last = b""
@@ -119,6 +121,10 @@
                 self._do("ask afresh")
             return
         if fresh.transport is not None:
+            if self.question is not None:
+                self._events.record(
+                    "name_server_socket_replaced", questions_waiting=self._asking.waiting(self._now())
+                )
             # The old socket is given up only for a new one, or a shortage would leave none.
             self._leave()
             self.question = fresh
--- a/burlmast/node/roster.py
+++ b/burlmast/node/roster.py
@@ -108,6 +108,10 @@
         """When this question was asked; None where its answer is not taken (any more)."""
         return self._asked_at.get(number)
 
+    def waiting(self, now: int) -> int:
+        """How many questions may still be answered."""
+        return sum(1 for asked_at in self._asked_at.values() if now - asked_at <= LATE)
+
     def take(self, now: int, happening: str) -> str:
         """What to do: ask, ask afresh (over a new socket) or nothing; `due` says when time comes in again."""
         if happening == "due" and now < self.due:
