Viewers' connections take turns: one that floods no longer delays the others

Cause: up to 64 KiB of one connection were decided on in one turn of the loop, all requests in order of arrival. Why this works: at most 2 ms of decisions a turn, connections in rotation; the rest waits in a bounded queue and is refused at once after 0.5 s, or half of its patience; reading goes on, so that the flood's own requests are answered too.

--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -20,7 +20,9 @@
 SLOW_FIRST_LINE = 2_500 * MS
 WRITING = 500 * MS  # since the last byte of a line that has begun; after that nobody writes it
 WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
-BUFFER = bytearray(65536)  # one for all: what is read is taken out of it before anything else is read
+# One for all: what is read is taken out of it before anything else is read. Its size bounds what is done
+# for one connection in a turn of the loop.
+BUFFER = bytearray(16 * 1024)
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -53,6 +55,12 @@
     def may_be_asked(self, line: Line) -> bool:
         """Whether a set-up is sound, and for something that does not stand yet."""
 
+    def waiting(self, viewer: ViewerConnection) -> int:
+        """How many requests of a connection wait for their decision."""
+
+    def refuse_waiting(self, viewer: ViewerConnection) -> None:
+        """Answer those requests: they were never sent on."""
+
     def abandoned(self, viewer: ViewerConnection) -> None:
         """The other side of a connection has closed it."""
 
@@ -79,6 +87,7 @@
         self.began = self.last_received = listener.now()
         self.sound = False
         self.asked = 0  # sound set-ups on it
+        self.overloaded = False  # a request on it was refused since it asks more than its share
         self.partial_since = 0  # since when nothing has come to the line that has begun; 0: none has
         self.closing_since = 0
         self._poll = select.poll()
@@ -152,6 +161,11 @@
             return 0 if now - self.began >= SWEEP else 2
         return 1 if self.asked <= 1 else 3
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is asked on it."""
+        return not self.open and not self.listener.waiting(self)
+
     def unsound(self, now: int) -> bool:
         """Whether nothing of right form has come on it for too long."""
         writing = self.partial_since > 0 and now - self.partial_since < WRITING
@@ -173,6 +187,7 @@
     def close(self, reason: str) -> None:
         """Answer what is held on it, and close it."""
         self.closed_because = self.closed_because or reason
+        self.listener.refuse_waiting(self)
         for name, playback in list(self.open.items()):
             self.write(lines.release(name, lines.FAILED))
             playback.reply = None
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from math import isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 from burlmast.api import Ending
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
@@ -17,6 +17,8 @@
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_interface import SetupPayload
 from burlmast.node.lines import Line
+from burlmast.node.request_queue import QueuedRequest
+from burlmast.node.request_turns import RequestTurns
 from burlmast.node.viewer_connection import SWEEP, UNSOUND_FOR, ViewerConnection
 from burlmast.shutdown import Shutdown
 
@@ -27,6 +29,16 @@
 ENDS = {Ending.SERVED: lines.ENDED}
 
 
+OPEN_MOST = 512  # requests of one connection that have no answer yet; beyond that it is refused at once
+
+
+class SessionRequest(NamedTuple):
+    """A set-up of sound form: what is decided on, and what its host gets."""
+
+    wanted: Wanted
+    sent: SetupPayload
+
+
 class WrongForm(Exception):
     """A set-up that nothing can be done with."""
 
@@ -79,6 +91,9 @@
         self.freed: Callable[[], None] = lambda: None  # after a connection has gone
         self._loop = asyncio.get_running_loop()
         self.ends = EndDelivery(lambda: self.viewers, now, self._loop.call_later, events)
+        self.turns: RequestTurns[ViewerConnection, SessionRequest] = RequestTurns(
+            now, self._loop.call_soon, self._decide, self._refuse
+        )
         self._closed = False
         self.ready = False  # tests are passed from then on; what comes earlier is served all the same
 
@@ -103,7 +118,7 @@
 
     def make_room(self) -> bool:
         """Close the connection that is missed least; False where something is asked on each."""
-        idle = [one for one in self.viewers if not one.open and one.usable]
+        idle = [one for one in self.viewers if one.idle and one.usable]
         idle.sort(key=lambda one: (one.standing(self.now()), one.last_received))
         # What has written already and was not read yet is idle no longer.
         chosen = next((one for one in idle if not one.waiting()[1]), idle[0] if idle else None)
@@ -114,6 +129,7 @@
 
     def abandoned(self, viewer: ViewerConnection) -> None:
         """The other side of a connection has closed it: what is asked on it is given up."""
+        self.turns.queue.drop(viewer)
         for playback in list(viewer.open.values()):
             playback.reply = None
             self.leave(playback)
@@ -159,7 +175,7 @@
                 viewer.closed_because = viewer.closed_because or "not_read"
                 assert viewer.transport is not None
                 viewer.transport.abort()
-            elif viewer.unsound(now) or (half and not viewer.open):
+            elif viewer.unsound(now) or (half and viewer.idle):
                 if not viewer.waiting()[1]:
                     self.counts["closed unsound"] += 1
                     viewer.close("unsound")
@@ -207,7 +223,10 @@
 
     def _release(self, viewer: ViewerConnection, line: Line) -> None:
         playback = self.known.get(line.id)
-        if playback is not None:
+        if self.turns.queue.cancel(line.id) is not None:
+            viewer.sound = True
+            self.counts["given up before its decision"] += 1
+        elif playback is not None:
             viewer.sound = True
             self.events.trace("request_cancelled", line.id, connection=viewer.name, state=playback.state)
             playback.reply = None
@@ -240,9 +259,12 @@
             if held is None:
                 self._hand_over(viewer, line.id, wanted, sent, at)
             return
-        if held is not None:
+        waiting = self.turns.queue.find(line.id)
+        if held is not None or waiting is not None:
             self.counts["id twice"] += 1
-            if held.reply is viewer:
+            if waiting is not None and waiting.connection is viewer:
+                self.turns.queue.cancel(line.id)  # both end with this one answer
+            elif held is not None and held.reply is viewer:
                 # Neither can be told from the other: both end with this one answer.
                 held.reply = None
                 self.leave(held)
@@ -253,11 +275,41 @@
         self._arrive(viewer, line.id, wanted, sent)
 
     def _arrive(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: SetupPayload) -> None:
+        request = SessionRequest(wanted, sent)
+        allowed = self.shutdown.time_allowed(self.now(), wanted.patience)
+        size = len(sent.description) + len(sent.title)
+        if len(viewer.open) >= OPEN_MOST:
+            now = self.now()
+            self._refuse(QueuedRequest(name, viewer, request, size, now, now), "too_many_open")
+            return
+        self.turns.arrive(name, viewer, request, size, allowed)
+
+    def waiting(self, viewer: ViewerConnection) -> int:
+        """How many requests of a connection wait for their decision."""
+        return self.turns.queue.waiting(viewer)
+
+    def refuse_waiting(self, viewer: ViewerConnection) -> None:
+        """Answer those requests: they were never sent on."""
+        for request in self.turns.queue.drop(viewer):
+            self._refuse(request, "connection_closed")
+
+    def _refuse(self, request: QueuedRequest[ViewerConnection, SessionRequest], reason: str) -> None:
+        viewer = request.connection
+        self.counts[f"refused, {reason}"] += 1
+        if not viewer.overloaded:
+            viewer.overloaded = True
+            self.events.record("connection_over_its_share", connection=viewer.name, reason=reason)
+        self.events.trace("request_refused", request.name, connection=viewer.name, reason=reason)
+        viewer.write(lines.release(request.name, lines.REFUSED))
+
+    def _decide(self, request: QueuedRequest[ViewerConnection, SessionRequest]) -> None:
+        viewer, name, (wanted, sent) = request.connection, request.name, request.content
         if self.driver is None:
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
-        allowed = self.shutdown.time_allowed(self.now(), wanted.patience)
-        if not allowed:
+        now = self.now()
+        allowed = self.shutdown.time_allowed(now, wanted.patience - (now - request.queued_at))
+        if allowed <= 0:
             self.counts["refused in shutdown"] += 1
             self.events.trace("request_refused", name, connection=viewer.name, reason="shutdown")
             viewer.write(lines.release(name, lines.REFUSED))
@@ -265,7 +317,7 @@
         wanted = wanted._replace(patience=allowed)
         self._coming = SessionView(sent, viewer)
         self.events.trace("request_received", name, connection=viewer.name, left_ms=wanted.patience // MS)
-        playback = self.driver.arrive(self.now(), wanted, viewer, name)
+        playback = self.driver.arrive(now, wanted, viewer, name)
         if playback.state == "asked":
             self.known[name] = viewer.open[name] = playback
         self.arm()
