Sessions handed over at unlisted hosts are ended without a record in the decisions

Cause: Gateway.handed_over makes a host for an id that is not listed (its seat counts until the list names it), and parts with it only when the list changes; the platform's host pool ends such a session at once, so nothing was left to keep. Why this works: the listener asks the pool first; the viewer is told of the end as before, the decisions hear nothing.

--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -15,7 +15,7 @@
 from burlmast.node.host_connection import HostAttempt
 from burlmast.node.host_interface import HostCallbacks, HostPoolLimits, SetupPayload
 from burlmast.node.media_host import MediaHost
-from burlmast.node.names import Entry
+from burlmast.node.names import Entry, host_number
 
 MS = 1_000_000
 WATCH_PERIOD = 250 * MS  # at most
@@ -129,6 +129,11 @@
         one.handle = attempt = HostAttempt(one, host, sent)
         host.take(attempt)
 
+    def number_of(self, name: str) -> int | None:
+        """The number of the host of this name; None where there is none."""
+        number = host_number(name)
+        return number if number in self.hosts else None
+
     def hand_over(self, one: Try, sent: SetupPayload) -> None:
         """What an earlier life of this gateway set up."""
         host = self.hosts.get(one.host)
--- a/burlmast/node/names.py
+++ b/burlmast/node/names.py
@@ -35,6 +35,11 @@
     """An event or an answer that cannot be used."""
 
 
+def host_number(name: str) -> int:
+    """The number under which the decisions know the host of this id: the same at every gateway."""
+    return zlib.crc32(name.encode())
+
+
 class Entry(NamedTuple):
     """One media host as the list has it; `started` whole Unix nanoseconds, 0 for long ago."""
 
@@ -49,8 +54,8 @@
 
     @property
     def number(self) -> int:
-        """The number under which the decisions know it: the same at every gateway."""
-        return zlib.crc32(self.name.encode())
+        """See `host_number`."""
+        return host_number(self.name)
 
 
 def split(address: str, least: int = 1) -> tuple[str, int]:
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -77,7 +77,7 @@
         )
         self.listener.arm = self.arm
         self.listener.handed_over = self.hosts.hand_over
-        self.listener.host_number = lambda name: Entry(name, ("", 0), "", "", 0, Standing.GONE, 0.0, 0).number
+        self.listener.host_number = self.hosts.number_of
         self.resolver = Resolver(
             configuration.resolver,
             configuration.seed,
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -83,7 +83,8 @@
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
         self.handed_over: Callable[[Try, SetupPayload], None] | None = None
-        self.host_number: Callable[[str], int] | None = None
+        # The number of a host that is listed, or on which something stands still, by its name.
+        self.host_number: Callable[[str], int | None] | None = None
         self.viewers: dict[ViewerConnection, None] = {}  # in the order in which they came
         self.known: dict[str, Playback] = {}  # asked or playing, by the platform's id
         self.counts: Counter[str] = Counter()
@@ -327,9 +328,16 @@
     ) -> None:
         if self.driver is None or self.host_number is None or self.handed_over is None:
             return
+        host = self.host_number(at)
+        if host is None:
+            # The decisions would keep a host for each name that somebody makes up.
+            self.counts["handed over at no host"] += 1
+            self.events.trace("session_ended", name, connection=viewer.name, host=at, reason="not_listed")
+            self.ends.send(name, lines.release(name, lines.CUT), viewer)
+            return
         self._coming = SessionView(sent, viewer)
         self.events.trace("session_handed_over", name, connection=viewer.name, host=at)
-        one = self.driver.hand_over(self.now(), wanted, name, self.host_number(at))
+        one = self.driver.hand_over(self.now(), wanted, name, host)
         self.known[name] = one.playback
         self.handed_over(one, sent)
         self.arm()
--- a/tests/overload_trial.py
+++ b/tests/overload_trial.py
@@ -69,6 +69,10 @@
     return set_up(BASE + number) + (release(BASE + number - 100) if number >= 100 else b"")
 
 
+def new_titles(number: int) -> bytes:
+    return set_up(BASE + number, key=f"{BASE + number:016x}")
+
+
 def one_id(number: int) -> bytes:
     return set_up(BASE)
 
@@ -90,14 +94,21 @@
     return set_up(BASE + number, extras=f"{EXTRAS};at:s-{number % 4}")
 
 
+def handed_over_unlisted(number: int) -> bytes:
+    """The same at hosts that nobody has heard of."""
+    return set_up(BASE + number, extras=f"{EXTRAS};at:s-{BASE + number:x}")
+
+
 FLOODS: dict[str, Callable[[int], bytes]] = {
     "new_ids": new_ids,
+    "new_titles": new_titles,
     "given_up": given_up,
     "one_id": one_id,
     "wrong_form": wrong_form,
     "pings": pings,
     "unknown_releases": unknown_releases,
     "handed_over": handed_over,
+    "handed_over_unlisted": handed_over_unlisted,
 }
 
 
@@ -304,7 +315,9 @@
             process.wait()
 
 
-async def measure(address: tuple[str, int], until: float, pid: int, rate: float, found: Measured) -> None:
+async def measure(
+    address: tuple[str, int], until: float, pid: int, rate: float, acknowledges: bool, found: Measured
+) -> None:
     """Ask at this rate on one connection; each wait counts from the write to the answer."""
     reader, writer = await asyncio.open_connection(*address)
     asked: dict[str, float] = {}
@@ -317,7 +330,7 @@
                 found.waits.append(time.monotonic() - began)
                 kind = f"{told['type']} {told.get('cause', '')}".strip()
                 found.answers[kind] = found.answers.get(kind, 0) + 1
-            elif told["type"] in ("release", "move"):
+            elif told["type"] in ("release", "move") and acknowledges:
                 writer.write(b'{"type":"released","id":"%s","fields":{}}\n' % told["id"].encode())
 
     listening = asyncio.ensure_future(listen())
@@ -347,6 +360,7 @@
     rate: float = 5.0,
     settle: float = 0.0,
     most: int = 1 << 60,
+    acknowledges: bool = True,
 ) -> Measured:
     """One trial: a flood for so many seconds, of `most` messages, and `settle` seconds more after it."""
     found = Measured()
@@ -372,7 +386,9 @@
                     arguments = (("127.0.0.1", port), flood, most, until, its)
                     workers.append(FORK.Process(target=run_flood, args=arguments, daemon=True))
                     workers[-1].start()
-                asyncio.run(measure(("127.0.0.1", port), until + settle, process.pid, rate, found))
+                asyncio.run(
+                    measure(("127.0.0.1", port), until + settle, process.pid, rate, acknowledges, found)
+                )
                 if flood is not None:
                     found.flood = flooding.recv()
                     flooding.send(None)
@@ -399,8 +415,16 @@
     parser.add_argument("--share", type=float, default=1.0)
     parser.add_argument("--plays", type=float, default=3.0)
     parser.add_argument("--settle", type=float, default=0.0)
+    parser.add_argument("--silent", action="store_true", help="no client says that it received an end")
     told = parser.parse_args()
-    found = play(FLOODS.get(told.flood), told.seconds, told.share, plays=told.plays, settle=told.settle)
+    found = play(
+        FLOODS.get(told.flood),
+        told.seconds,
+        told.share,
+        plays=told.plays,
+        settle=told.settle,
+        acknowledges=not told.silent,
+    )
     print(json.dumps({"flood": told.flood, **found.report()}))
 
 
--- a/tests/test_node_overload.py
+++ b/tests/test_node_overload.py
@@ -49,6 +49,11 @@
     assert found.flood.longest_wait < DEADLINE, found.flood
 
 
+def test_sessions_handed_over_at_unlisted_hosts_are_ended_and_leave_nothing_behind() -> None:
+    # Guards against a record in the decisions for each name of a host that a client makes up.
+    check(play(FLOODS["handed_over_unlisted"], 4.0))
+
+
 # The queue, without I/O.
 
 
