Unacknowledged ends are kept up to a number, and resent a bounded number at a time

Cause: each end is kept for 30 s and sent again up to 30 times until a viewer says released, which is free; no number bounded it. Why this works: 1,024 sent ends of a connection and 4,096 of all are kept, the oldest gives way; 512 resends in one go, the least often sent first. Every end is still sent once at least, and those that found no connection are all kept.

--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -26,6 +26,11 @@
 UNACKNOWLEDGED_KEPT = (
     1_000 * MS
 )  # how long a message that wants no acknowledgement is kept for a lost connection
+# Ends that have been sent and not acknowledged, which a viewer need not do (PROTOCOL: "release heard (free)").
+# The oldest of a connection is given up for the next; at 128 ends a second it has been sent for 8 s.
+UNACKNOWLEDGED_MOST_OF_CONNECTION = 1024
+UNACKNOWLEDGED_MOST = 4 * UNACKNOWLEDGED_MOST_OF_CONNECTION
+RESENDS_MOST = 512  # in one go, those first that have been sent least often
 
 
 class EndConnection(Protocol):
@@ -109,6 +114,9 @@
         self._timer: Timer | None = None
         self._closed = False
         self.pending: dict[str, PendingEnd] = {}
+        # Those that have been sent, oldest first: all, and by the connection that asked.
+        self._sent: dict[str, PendingEnd] = {}
+        self._sent_for: dict[EndConnection | None, dict[str, PendingEnd]] = {}
 
     def send(
         self,
@@ -123,13 +131,14 @@
         now = self._now()
         ended_at = ended_at or now
         end = PendingEnd(session, message, preferred, answered_at, wants_acknowledgement, ended_at, now)
+        self._remove(session)
         self.pending[session] = end
         self._send(end, "ended")
         self._arm()
 
     def acknowledge(self, session: str, connection: EndConnection) -> None:
         """A viewer has received the end of this session."""
-        end = self.pending.pop(session, None)
+        end = self._remove(session)
         if end is None:
             return
         connection.acknowledged += 1
@@ -158,6 +167,8 @@
         """Send nothing more."""
         self._closed = True
         self.pending.clear()
+        self._sent.clear()
+        self._sent_for.clear()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -173,11 +184,35 @@
         now = self._now()
         for end in list(self.pending.values()):
             if self._expired(end, now):
-                del self.pending[end.session]
-            elif end.wants_acknowledgement and end.due <= now:
-                self._send(end, "not_acknowledged")
+                self._remove(end.session)
+        due = [end for end in self.pending.values() if end.wants_acknowledgement and end.due <= now]
+        for end in sorted(due, key=lambda end: (len(end.sends), end.due))[:RESENDS_MOST]:
+            self._send(end, "not_acknowledged")
         self._arm()
 
+    def _remove(self, session: str) -> PendingEnd | None:
+        end = self.pending.pop(session, None)
+        if end is not None and self._sent.pop(session, None) is not None:
+            sent_for = self._sent_for[end.preferred]
+            del sent_for[session]
+            if not sent_for:
+                del self._sent_for[end.preferred]
+        return end
+
+    def _note_first_send(self, end: PendingEnd) -> None:
+        """Keep it until it is acknowledged; where too many are kept, the oldest of them go."""
+        self._sent[end.session] = end
+        sent_for = self._sent_for.setdefault(end.preferred, {})
+        sent_for[end.session] = end
+        if len(sent_for) > UNACKNOWLEDGED_MOST_OF_CONNECTION:
+            self._displace(next(iter(sent_for.values())), "too_many_of_connection")
+        elif len(self._sent) > UNACKNOWLEDGED_MOST:
+            self._displace(next(iter(self._sent.values())), "too_many")
+
+    def _displace(self, end: PendingEnd, reason: str) -> None:
+        self._remove(end.session)
+        self._events.record("end_displaced", session=end.session, sends=len(end.sends), reason=reason)
+
     def _expired(self, end: PendingEnd, now: int) -> bool:
         age = now - end.ended_at
         if not end.wants_acknowledgement and end.sends:
@@ -196,6 +231,8 @@
                 self._events.record("end_without_connection", session=end.session, pending=len(self.pending))
             return
         now = self._now()
+        if not end.sends:
+            self._note_first_send(end)
         end.sends.append(Send(connection, now))
         end.due = now + _resend_after(end, now)
         self._log_send(end, connection, reason)
--- a/tests/test_node_delivery.py
+++ b/tests/test_node_delivery.py
@@ -16,9 +16,12 @@
     PROMPT,
     RESEND_AFTER,
     RESEND_AFTER_UNPROVEN,
+    RESENDS_MOST,
     SLOW_RESEND_AFTER,
     SLOWEST_RESEND_AFTER,
     UNACKNOWLEDGED_KEPT,
+    UNACKNOWLEDGED_MOST,
+    UNACKNOWLEDGED_MOST_OF_CONNECTION,
     EndDelivery,
 )
 from burlmast.node.eventlog import EventLog
@@ -301,3 +304,40 @@
             times = [at for at, data in zip(connection.times, connection.written, strict=True) if data == end]
             gaps = [later - earlier for earlier, later in pairwise(times)]
             assert all(gap >= SLOW_RESEND_AFTER for gap in gaps), "not twice within the slow pace"
+
+
+def test_ends_that_a_connection_never_acknowledges_are_kept_up_to_a_number() -> None:
+    # Guards against memory and resends that grow with the ends of a client that acknowledges nothing.
+    flood, other = Connection("flood"), Connection("other")
+    world = World(flood, other)
+    world.delivery.send("kept", b"kept", other)
+    for number in range(3 * UNACKNOWLEDGED_MOST_OF_CONNECTION):
+        world.delivery.send(f"f{number}", b"end", flood)
+    assert len(flood.written) == 3 * UNACKNOWLEDGED_MOST_OF_CONNECTION, "each is sent once at least"
+    assert len(world.delivery.pending) == 1 + UNACKNOWLEDGED_MOST_OF_CONNECTION
+    assert "kept" in world.delivery.pending, "it gives way to its own connection's ends alone"
+    before = len(flood.written) + len(other.written)
+    world.pass_time(RESEND_AFTER)
+    assert len(flood.written) + len(other.written) - before <= RESENDS_MOST
+    world.pass_time(GIVE_UP_AFTER)
+    delivery = world.delivery
+    assert not delivery.pending and not delivery._sent and not delivery._sent_for
+
+
+def test_unacknowledged_ends_of_all_connections_are_kept_up_to_a_number() -> None:
+    # Guards against many connections, each within its own bound.
+    connections = [Connection(f"c{number}") for number in range(6)]
+    world = World(*connections)
+    for number in range(6 * UNACKNOWLEDGED_MOST_OF_CONNECTION):
+        world.delivery.send(f"{number}", b"end", connections[number % 6])
+    assert len(world.delivery.pending) == UNACKNOWLEDGED_MOST
+
+
+def test_ends_that_found_no_connection_are_all_kept_until_one_comes() -> None:
+    # Guards against the bound being applied to ends that have never been sent.
+    world = World()
+    for number in range(2 * UNACKNOWLEDGED_MOST):
+        world.delivery.send(f"{number}", b"%d" % number, None)
+    assert len(world.delivery.pending) == 2 * UNACKNOWLEDGED_MOST
+    late = world.connect(Connection("late"))
+    assert len(late.written) == 2 * UNACKNOWLEDGED_MOST
--- a/tests/test_node_overload.py
+++ b/tests/test_node_overload.py
@@ -54,6 +54,11 @@
     check(play(FLOODS["handed_over_unlisted"], 4.0))
 
 
+def test_ends_that_a_flood_never_acknowledges_cost_bounded_memory_and_time() -> None:
+    # Guards against ends that are kept and sent again for 30 s, however many a client leaves unacknowledged.
+    check(play(FLOODS["handed_over_unlisted"], 6.0, acknowledges=False))
+
+
 # The queue, without I/O.
 
 
