The sessions that a gateway holds are bounded by its memory limit, and by connection

Cause: nothing counted what is held; the memory limit of the configuration was not read. Why this works: half of what the limit leaves beyond 40 MB is room for sessions, 6 KiB each (4.5 KiB were measured); hand-overs may fill half, one connection's requests half; what is beyond is refused, or ended towards its viewer, at once. Both new process tests fail before.

--- a/burlmast/node/configuration.py
+++ b/burlmast/node/configuration.py
@@ -10,9 +10,11 @@
 from burlmast import api
 from burlmast.node.descriptors import Parts, allowed, parts
 from burlmast.node.names import Entry, Unsound, read_event, split
+from burlmast.node.session_limit import session_limit
 from burlmast.wirehost import settings
 
 MS = 1_000_000
+MEMORY_MB = 64.0  # where the file tells no limit of memory
 
 
 class BadConfiguration(Exception):
@@ -27,6 +29,7 @@
     resolver: tuple[str, int]
     seed: int
     parts: Parts
+    sessions: int  # that may be held at a time
     serial: int
     events: list[list[Entry]]
     terms: api.Terms
@@ -65,6 +68,7 @@
         resolver=split(data["resolver"]),
         seed=int(str(data["seed"]), 16),
         parts=parts(allowed(int(data["limits"]["sockets"]))),
+        sessions=session_limit(float(data["limits"].get("memory_mb", MEMORY_MB))),
         serial=int(known["rev"]),
         events=[read_event(notice) for notice in known["notices"]],
         terms=terms,
--- a/burlmast/node/delivery.py
+++ b/burlmast/node/delivery.py
@@ -26,7 +26,7 @@
 UNACKNOWLEDGED_KEPT = (
     1_000 * MS
 )  # how long a message that wants no acknowledgement is kept for a lost connection
-# Ends that have been sent and not acknowledged, which a viewer need not do (PROTOCOL: "release heard (free)").
+# Ends that were sent and not acknowledged, which a viewer need not do (PROTOCOL: "release heard (free)").
 # The oldest of a connection is given up for the next; at 128 ends a second it has been sent for 8 s.
 UNACKNOWLEDGED_MOST_OF_CONNECTION = 1024
 UNACKNOWLEDGED_MOST = 4 * UNACKNOWLEDGED_MOST_OF_CONNECTION
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -108,6 +108,7 @@
                 self.now(),
             )
             self.listener.driver = self.driver
+            self.listener.begin_anew()
             self._list(*self.roster.whole(), list(self.roster.entries.values()))
         finally:
             self._beginning = False
--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -87,6 +87,7 @@
         self.began = self.last_received = listener.now()
         self.sound = False
         self.asked = 0  # sound set-ups on it
+        self.held = 0  # requests and sessions that were asked for or handed over on it and are held
         self.overloaded = False  # a request on it was refused since it asks more than its share
         self.partial_since = 0  # since when nothing has come to the line that has begun; 0: none has
         self.closing_since = 0
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -202,6 +202,11 @@
         for viewer in list(self.viewers):
             viewer.close("shutdown")
 
+    def begin_anew(self) -> None:
+        """Other decisions hold nothing yet."""
+        for viewer in self.viewers:
+            viewer.held = 0
+
     # Messages.
 
     def received(self, viewer: ViewerConnection, line: Line) -> None:
@@ -279,12 +284,23 @@
         request = SessionRequest(wanted, sent)
         allowed = self.shutdown.time_allowed(self.now(), wanted.patience)
         size = len(sent.description) + len(sent.title)
-        if len(viewer.open) >= OPEN_MOST:
+        reason = self._no_room(viewer)
+        if reason:
             now = self.now()
-            self._refuse(QueuedRequest(name, viewer, request, size, now, now), "too_many_open")
+            self._refuse(QueuedRequest(name, viewer, request, size, now, now), reason)
             return
         self.turns.arrive(name, viewer, request, size, allowed)
 
+    def _no_room(self, viewer: ViewerConnection) -> str:
+        """Why nothing more can be asked on this connection for now; empty where it can."""
+        if len(viewer.open) >= OPEN_MOST:
+            return "too_many_open"
+        if self.driver is not None and len(self.driver.held) >= self.configuration.sessions:
+            return "too_many_sessions"
+        if viewer.held >= self.configuration.sessions // 2:
+            return "too_many_sessions_of_connection"  # the others' room is left to them
+        return ""
+
     def waiting(self, viewer: ViewerConnection) -> int:
         """How many requests of a connection wait for their decision."""
         return self.turns.queue.waiting(viewer)
@@ -308,6 +324,10 @@
         if self.driver is None:
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
+        reason = self._no_room(viewer)
+        if reason:  # others came before it while it waited
+            self._refuse(request, reason)
+            return
         now = self.now()
         allowed = self.shutdown.time_allowed(now, wanted.patience - (now - request.queued_at))
         if allowed <= 0:
@@ -318,6 +338,7 @@
         wanted = wanted._replace(patience=allowed)
         self._coming = SessionView(sent, viewer)
         self.events.trace("request_received", name, connection=viewer.name, left_ms=wanted.patience // MS)
+        viewer.held += 1
         playback = self.driver.arrive(now, wanted, viewer, name)
         if playback.state == "asked":
             self.known[name] = viewer.open[name] = playback
@@ -329,13 +350,17 @@
         if self.driver is None or self.host_number is None or self.handed_over is None:
             return
         host = self.host_number(at)
-        if host is None:
+        # What is handed over by a client's word alone leaves room for what is asked.
+        full = len(self.driver.held) >= self.configuration.sessions // 2
+        if host is None or full:
             # The decisions would keep a host for each name that somebody makes up.
-            self.counts["handed over at no host"] += 1
-            self.events.trace("session_ended", name, connection=viewer.name, host=at, reason="not_listed")
+            reason = "too_many_sessions" if full else "not_listed"
+            self.counts[f"handed over, {reason}"] += 1
+            self.events.trace("session_ended", name, connection=viewer.name, host=at, reason=reason)
             self.ends.send(name, lines.release(name, lines.CUT), viewer)
             return
         self._coming = SessionView(sent, viewer)
+        viewer.held += 1
         self.events.trace("session_handed_over", name, connection=viewer.name, host=at)
         one = self.driver.hand_over(self.now(), wanted, name, host)
         self.known[name] = one.playback
@@ -423,6 +448,8 @@
     def over(self, playback: Playback) -> None:
         """Nothing is held for it any more; a viewer whose playback ended without it is told."""
         self._forget(playback)
+        if isinstance(playback.timeline, SessionView) and playback.timeline.viewer is not None:
+            playback.timeline.viewer.held -= 1
         ending = playback.tries[-1].ending if playback.tries else None
         if playback.state == "over" and ending is not Ending.CALLED_OFF:
             cause = ENDS.get(ending, lines.CUT) if ending is not None else lines.CUT
--- a/tests/test_node_overload.py
+++ b/tests/test_node_overload.py
@@ -17,6 +17,7 @@
     RequestQueue,
 )
 from burlmast.node.request_turns import RequestTurns
+from burlmast.node.session_limit import MB, PROCESS_MB, SESSION_BYTES, SESSIONS_LEAST, session_limit
 
 GOAL = PLAN["goalTimeMs"] / 1000  # type: ignore[operator]
 DEADLINE = 2.9  # seconds: what the measured client's set-ups leave
@@ -59,6 +60,24 @@
     check(play(FLOODS["handed_over_unlisted"], 6.0, acknowledges=False))
 
 
+def test_sessions_handed_over_by_a_clients_word_alone_leave_the_others_room_and_time() -> None:
+    # Guards against sessions without number: 40,000 of them kept all timers from their time.
+    check(play(FLOODS["handed_over"], 6.0))
+
+
+def test_one_connection_does_not_take_all_the_sessions_that_memory_allows() -> None:
+    # Guards against others who are refused since one client's sessions fill the gateway.
+    found = play(FLOODS["new_ids"], 8.0, plays=60.0)
+    check(found)
+    assert found.flood is not None and found.flood.answers["answer"] <= session_limit(MEMORY_MB) // 2
+
+
+@pytest.mark.parametrize("memory", [0, 32, 64, 192])
+def test_all_sessions_fit_into_half_of_the_memory_that_is_left(memory: int) -> None:
+    most = session_limit(memory)
+    assert most == SESSIONS_LEAST or PROCESS_MB + 2 * most * SESSION_BYTES / MB <= memory
+
+
 # The queue, without I/O.
 
 
