A coordinator holds a bounded number of bytes of unfinished bodies

Cause: each body was bounded, all together were not, and each may take 5 s. Why this works: a gate counts what is held beyond 32 KiB of a body and refuses above 32 MiB with 503; heartbeats are below that.

--- a/burlmast/fleet/coordinator_shell.py
+++ b/burlmast/fleet/coordinator_shell.py
@@ -43,12 +43,14 @@
 from burlmast.fleet.stamp import canonical, digest
 from burlmast.http1.client import Address, Pool, Whole
 from burlmast.http1.messages import split_address
-from burlmast.http1.server import Bounds, Exchange, Server
+from burlmast.http1.server import BodyBudget, Bounds, Exchange, Server
 from burlmast.settings.read import BadSettings, parse
 from burlmast.settings.sheets import Deployment
 
 JSON = ((b"content-type", b"application/json"),)
-BODY = 8 << 20
+BODY = 8 << 20  # bytes of one request
+# Bytes of all unfinished bodies together, and of each what is not counted: heartbeats are always taken.
+BODIES, BODY_FREE = 4 * BODY, 32 * 1024
 FORGOTTEN = 3600 * 1_000_000_000  # nanoseconds after which a life that is not heard is shown no more
 BEATS_HEARD = 3  # that a desk alone on a blank disk listens for gateways that know a book
 REMOVED_AT_ONCE = 250  # rows kept no more that leave the disk in one piece: some milliseconds
@@ -143,7 +145,9 @@
             self.store.keep_register,
             lambda other, path, body: self.call(other, path, body, Answer),
         )
-        self.server = Server(self.application, Bounds(body=BODY, idle_s=120.0))
+        self.server = Server(
+            self.application, Bounds(body=BODY, body_free=BODY_FREE, idle_s=120.0), BodyBudget(BODIES)
+        )
         self.loop = asyncio.get_running_loop()
         self._reads = 0
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/burlmast/http1/server.py
+++ b/burlmast/http1/server.py
@@ -65,6 +65,20 @@
         return True
 
 
+class BodyBudget(OpenGate):
+    """Lets everybody in, and holds so many bytes of unfinished bodies in all."""
+
+    def __init__(self, most: int) -> None:
+        """`most` in bytes; what a connection may always hold (`Bounds.body_free`) is not counted."""
+        self._most, self._held = most, 0
+
+    def buffered(self, address: str, change: int) -> bool:
+        if change > 0 and self._held + change > self._most:
+            return False
+        self._held += change
+        return True
+
+
 class Bounds(msgspec.Struct, frozen=True):
     """What a peer may take: sizes in bytes, times in seconds."""
 
@@ -72,6 +86,7 @@
     head: int = 8192
     headers: int = 64
     body: int = 16384
+    body_free: int = 0  # of a body, so much is held without asking the gate
     head_s: float = 5.0
     body_s: float = 5.0
     idle_s: float = 60.0
@@ -535,12 +550,10 @@
 
     def count(self, change: int) -> bool:
         """Account for body bytes held; False where the gate has no room for them."""
-        if not change:
-            return True
-        if change > 0 and not self._server.gate.buffered(self.address, change):
+        free = self._bounds.body_free
+        more = max(0, self._counted + change - free) - max(0, self._counted - free)
+        if more and not self._server.gate.buffered(self.address, more):
             return False
-        if change < 0:
-            self._server.gate.buffered(self.address, change)
         self._counted += change
         return True
 
