An id under which a host may have begun something is not run again

Cause: an id was known while it was asked for or stood, and forgotten when its client left, though a host had begun with it. What no host had, or all refused, may come again. A viewer that has gone is not decided on.

--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -68,7 +68,18 @@
 class Try:
     """A setup try and, once it flows, the stream that came of it."""
 
-    __slots__ = ("due", "ending", "handle", "host", "place", "playback", "rung", "sent_at", "state")
+    __slots__ = (
+        "due",
+        "ending",
+        "handle",
+        "host",
+        "place",
+        "playback",
+        "rung",
+        "sent_at",
+        "state",
+        "written",
+    )
 
     def __init__(self, playback: Playback, place: int, host: int, sent_at: int) -> None:
         self.playback, self.place, self.host, self.sent_at = playback, place, host, sent_at
@@ -77,6 +88,7 @@
         self.rung = playback.rung
         self.ending: Ending | None = None
         self.handle: Any = None  # the shell's
+        self.written = False  # its set-up has been written to its host: the shell says so
 
 
 class Playback:
@@ -284,7 +296,7 @@
         self.playing += 1
         self.counts["handed over"] += 1
         one = Try(playback, 0, host, now)
-        one.state = "flowing"
+        one.state, one.written = "flowing", True
         playback.tries.append(one)
         self.shown[public] = playback
         self._hand(now, api.HandedOver(self._request(playback, moved=False), host))
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -324,6 +324,7 @@
             return
         _, plan, title, description = attempt.sent
         attempt.written, attempt.written_at = True, now
+        attempt.driver_attempt.written = True
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -10,6 +10,7 @@
 
 from burlmast.api import Ending
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
+from burlmast.logic import NEVER_RAN
 from burlmast.node import lines
 from burlmast.node.configuration import Configuration
 from burlmast.node.delivery import EndDelivery
@@ -17,6 +18,7 @@
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_interface import SetupPayload
 from burlmast.node.lines import Line
+from burlmast.node.recent_ids import RecentIds
 from burlmast.node.request_queue import QueuedRequest
 from burlmast.node.request_turns import RequestTurns
 from burlmast.node.viewer_connection import SWEEP, UNSOUND_FOR, ViewerConnection
@@ -63,6 +65,11 @@
         """See `driver.Shown`."""
 
 
+def _may_have_run(attempt: Try) -> bool:
+    """Whether a host may have begun with it."""
+    return attempt.written and attempt.ending not in NEVER_RAN
+
+
 class ViewerListener:
     """All viewers."""
 
@@ -96,6 +103,7 @@
             now, self._loop.call_soon, self._decide, self._refuse
         )
         self._closed = False
+        self.recent_ids = RecentIds()
         self.ready = False  # tests are passed from then on; what comes earlier is served all the same
 
     # Connections.
@@ -276,6 +284,11 @@
                 self.leave(held)
             viewer.write(lines.release(line.id, lines.NONSENSE))
             return
+        if self.recent_ids.used(line.id, self.now()):
+            self.counts["id used before"] += 1
+            self.events.trace("request_refused", line.id, connection=viewer.name, reason="id_used_before")
+            viewer.write(lines.release(line.id, lines.NONSENSE))
+            return
         viewer.sound = True
         viewer.asked += 1
         self._arrive(viewer, line.id, wanted, sent)
@@ -324,6 +337,10 @@
         if self.driver is None:
             viewer.write(lines.release(name, lines.REFUSED))  # it was never sent on
             return
+        if viewer.waiting()[0]:
+            self.counts["gone before its decision"] += 1
+            self.abandoned(viewer)
+            return
         reason = self._no_room(viewer)
         if reason:  # others came before it while it waited
             self._refuse(request, reason)
@@ -448,6 +465,8 @@
     def over(self, playback: Playback) -> None:
         """Nothing is held for it any more; a viewer whose playback ended without it is told."""
         self._forget(playback)
+        if any(map(_may_have_run, playback.tries)):
+            self.recent_ids.add(playback.public, self.now())
         if isinstance(playback.timeline, SessionView) and playback.timeline.viewer is not None:
             playback.timeline.viewer.held -= 1
         ending = playback.tries[-1].ending if playback.tries else None
--- a/tests/overload_trial.py
+++ b/tests/overload_trial.py
@@ -28,7 +28,7 @@
 from dataclasses import asdict, dataclass, field
 from multiprocessing.connection import Connection
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
@@ -112,6 +112,15 @@
 }
 
 
+class HostEvent(NamedTuple):
+    """What a host saw of a session, and when by the system's clock."""
+
+    at: float
+    host: str
+    session: int
+    what: str  # set-up, answered, given up (by the gateway), ended (by the host)
+
+
 class HostConnection(asyncio.Protocol):
     """One connection of the gateway to a host that answers each set-up, and plays it for a while."""
 
@@ -125,7 +134,7 @@
         loop = asyncio.get_running_loop()
         for message in self.reader.feed(data)[0]:
             if message.kind == frames.SETUP:
-                self.host.set_ups.append((time.time(), message.session))
+                self.host.log(message.session, "set-up")
                 loop.call_later(self.host.takes, self.answer, message.session)
                 self.host.out.add(message.session)
             elif message.kind == frames.PING:
@@ -134,6 +143,7 @@
                     frame(frames.PONG, message.session, {frames.CAUSE: b"\x01", frames.REPORT: report})
                 )
             elif message.kind == frames.RELEASE:
+                self.host.log(message.session, "given up")
                 self.host.out.discard(message.session)
                 timer = self.host.established.pop(message.session, None)
                 if timer is not None:
@@ -147,6 +157,7 @@
         if session not in self.host.out or self.transport.is_closing():
             return
         self.host.out.discard(session)
+        self.host.log(session, "answered")
         description = f"s {session:016x}\r\nc=IN IP4 127.0.0.1\r\n".encode()
         self.write(frame(frames.ANSWER, session, {frames.DESCRIPTION: description}))
         loop = asyncio.get_running_loop()
@@ -154,6 +165,7 @@
 
     def end(self, session: int) -> None:
         if self.host.established.pop(session, None) is not None:
+            self.host.log(session, "ended")
             self.write(frame(frames.RELEASE, session, {frames.CAUSE: b"\x10"}))
 
 
@@ -162,14 +174,18 @@
 
     def __init__(self, name: str, takes: float, plays: float) -> None:
         self.name, self.takes, self.plays = name, takes, plays
-        self.set_ups: list[tuple[float, int]] = []
+        self.events: list[HostEvent] = []
         self.out: set[int] = set()
         self.established: dict[int, asyncio.TimerHandle] = {}
         self.port = 0
 
+    def log(self, session: int, what: str) -> None:
+        """Something has happened to a session here."""
+        self.events.append(HostEvent(time.time(), self.name, session, what))
+
 
 def run_hosts(pipe: Connection, number: int, takes: float, plays: float) -> None:
-    """The process of the hosts and the name server: its addresses first, each host's set-ups when asked."""
+    """The process of the hosts and the name server: its addresses first, what the hosts saw when asked."""
 
     async def work() -> None:
         loop = asyncio.get_running_loop()
@@ -183,7 +199,7 @@
         pipe.send(([host.port for host in hosts], transport.get_extra_info("sockname")[1]))
         while not pipe.poll():
             await asyncio.sleep(0.05)
-        pipe.send([host.set_ups for host in hosts])
+        pipe.send(sorted(event for host in hosts for event in host.events))
 
     asyncio.run(work())
 
@@ -394,9 +410,8 @@
                     flooding.send(None)
                 found.crashed = process.poll() is not None
                 pipe.send(None)
-                set_ups = [one for host in pipe.recv() for one in host]
-                ids = Counter(session for _, session in set_ups)
-                found.set_ups_at_hosts = len(set_ups)
+                ids = Counter(event.session for event in pipe.recv() if event.what == "set-up")
+                found.set_ups_at_hosts = ids.total()
                 found.ids_twice_at_hosts = sum(1 for times in ids.values() if times > 1)
                 if os.environ.get("SHOW_LOG"):
                     sys.stderr.write((Path(folder) / "log").read_text())
