Hosts whose ids have one CRC-32 are two hosts

Cause: Entry.number, the CRC-32 of the id, is the key of a host everywhere. Why this works: HostNumbers gives each id a number of its own; where the CRC-32 is taken, the next of the id with a count.

--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -14,8 +14,9 @@
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_connection import HostAttempt
 from burlmast.node.host_interface import HostCallbacks, HostPoolLimits, SetupPayload
+from burlmast.node.host_numbers import HostNumbers
 from burlmast.node.media_host import MediaHost
-from burlmast.node.names import Entry, host_number
+from burlmast.node.names import Entry
 
 MS = 1_000_000
 WATCH_PERIOD = 250 * MS  # at most
@@ -26,8 +27,14 @@
     """All hosts."""
 
     def __init__(
-        self, limits: HostPoolLimits, callbacks: HostCallbacks, now: Callable[[], int], events: EventLog
+        self,
+        limits: HostPoolLimits,
+        callbacks: HostCallbacks,
+        now: Callable[[], int],
+        events: EventLog,
+        numbers: HostNumbers,
     ) -> None:
+        self._numbers = numbers
         self.limits, self.callbacks, self.now, self.events = limits, callbacks, now, events
         self._connection_names = 0
         self._loop = asyncio.get_running_loop()
@@ -83,7 +90,8 @@
     def list_changed(self, entries: list[Entry], gone: Callable[[Entry], bool]) -> None:
         """The list has changed so; `turn_away` follows once the decisions know."""
         for entry in entries:
-            host = self.hosts.get(entry.number)
+            number = self._numbers.of(entry.name)
+            host = self.hosts.get(number)
             if gone(entry):
                 if host is not None:
                     self._turning.append(host)
@@ -93,7 +101,7 @@
                 if host is not None:
                     self._turning.append(host)
                     host.remove("at another address")
-                host = self.hosts[entry.number] = MediaHost(self, entry.number, entry.name, entry.address)
+                host = self.hosts[number] = MediaHost(self, number, entry.name, entry.address)
             host.in_service = True
             host.draining = entry.standing is Standing.DRAINING
             if host.draining:
@@ -131,7 +139,7 @@
 
     def number_of(self, name: str) -> int | None:
         """The number of the host of this name; None where there is none."""
-        number = host_number(name)
+        number = self._numbers.find(name)
         return number if number in self.hosts else None
 
     def hand_over(self, one: Try, sent: SetupPayload) -> None:
--- a/burlmast/node/names.py
+++ b/burlmast/node/names.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import struct
-import zlib
 from typing import Any, NamedTuple
 
 import dns.exception
@@ -35,11 +34,6 @@
     """An event or an answer that cannot be used."""
 
 
-def host_number(name: str) -> int:
-    """The number under which the decisions know the host of this id: the same at every gateway."""
-    return zlib.crc32(name.encode())
-
-
 class Entry(NamedTuple):
     """One media host as the list has it; `started` whole Unix nanoseconds, 0 for long ago."""
 
@@ -52,11 +46,6 @@
     weight: float
     started: int
 
-    @property
-    def number(self) -> int:
-        """See `host_number`."""
-        return host_number(self.name)
-
 
 def split(address: str, least: int = 1) -> tuple[str, int]:
     """Host and port, which is `least` or above. Raises Unsound."""
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -71,7 +71,7 @@
             configuration.terms.allowed.probes,
         )
         self.events = events = EventLog(self.now, self.log.write)
-        self.hosts = HostPool(limits, self, self.now, events)
+        self.hosts = HostPool(limits, self, self.now, events, self.roster.numbers)
         self.listener = ViewerListener(
             configuration, self.now, self.log.say, configuration.parts.viewers, events
         )
@@ -195,7 +195,8 @@
 
     def _list(self, scope: Scope, rows: tuple[api.HostRow, ...], entries: list[Entry]) -> None:
         timed = self.timed(rows)
-        where = {entry.number: f"{entry.address[0]}:{entry.address[1]}" for entry in entries}
+        numbers = self.roster.numbers
+        where = {numbers.of(entry.name): f"{entry.address[0]}:{entry.address[1]}" for entry in entries}
         self.hosts.list_changed(entries, lambda entry: entry.standing is Standing.GONE)
         if scope is Scope.CHANGES:
             for row in timed:
--- a/burlmast/node/roster.py
+++ b/burlmast/node/roster.py
@@ -6,6 +6,7 @@
 
 from burlmast import api
 from burlmast.api import Scope, Standing
+from burlmast.node.host_numbers import HostNumbers
 from burlmast.node.names import Entry
 from burlmast.node.query_schedule import QUERY_INTERVAL, TOLD_BY
 
@@ -16,6 +17,7 @@
     def __init__(self, zones: Sequence[str], kinds: Sequence[str], began: int) -> None:
         """`began`: when this gateway started."""
         self.began = began
+        self.numbers = HostNumbers()
         self._zones = {name: place for place, name in enumerate(zones)}
         self._kinds = {name: place for place, name in enumerate(kinds)}
         self.serial = 0
@@ -57,7 +59,7 @@
         """Entries as the decisions hear them."""
         return tuple(
             api.HostRow(
-                one.number,
+                self.numbers.of(one.name),
                 self._zones.get(one.zone, len(self._zones)),
                 self._kinds.get(one.kind, 0),
                 one.cell,
--- a/tests/overload_trial.py
+++ b/tests/overload_trial.py
@@ -24,7 +24,7 @@
 import time
 import tomllib
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import asdict, dataclass, field
 from multiprocessing.connection import Connection
 from pathlib import Path
@@ -296,17 +296,20 @@
 
 
 @contextlib.contextmanager
-def gateway(folder: Path, ports: list[int], resolver: int, **limits: Any) -> Iterator[tuple[Any, int]]:
+def gateway(
+    folder: Path, ports: list[int], resolver: int, host_names: Sequence[str] = ()
+) -> Iterator[tuple[Any, int]]:
     """The process that `run` of the deploy file starts, and its port."""
+    names = host_names or [f"s-{place}" for place in range(len(ports))]
     rows = [
-        {"instanceId": f"s-{place}", "hostPort": f"127.0.0.1:{port}", "zone": "east", "machineType": "std",
+        {"instanceId": names[place], "hostPort": f"127.0.0.1:{port}", "zone": "east", "machineType": "std",
          "cell": place % 4, "lifecycle": "Ready", "weight": 1, "startedAtMs": 0}
         for place, port in enumerate(ports)
     ]  # fmt: skip
     settings = {**SETTINGS, "requestClasses": [PLAN]}
     configuration = {
         "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024, **limits}, "peers": [],
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}, "peers": [],
         "resolver": f"127.0.0.1:{resolver}", "settings": settings,
         "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"instances": rows}}]},
     }  # fmt: skip
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -145,6 +145,7 @@
         self.spoil: Callable[[bytes], bytes | None] = lambda raw: raw
         self.asked = 0
         self.started = 0.0  # of every host, a Unix millisecond
+        self.cells: dict[str, int] = {}  # of hosts by name; of the others by their place
         # How many seconds after its query the n-th answer is sent, as it was made then; None: never.
         self.delay: Callable[[int], float | None] = lambda number: 0.0
 
@@ -153,7 +154,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         self.asked += 1
-        raw = self.spoil(reply(data, self.serial, self.rows, self.started))
+        raw = self.spoil(reply(data, self.serial, self.rows, self.started, self.cells))
         seconds = self.delay(self.asked)
         if raw is None or seconds is None:
             return
@@ -172,7 +173,13 @@
     return server, transport.get_extra_info("sockname")
 
 
-def reply(question: bytes, serial: int, rows: dict[str, tuple[int, int]], started: float = 0.0) -> bytes:
+def reply(
+    question: bytes,
+    serial: int,
+    rows: dict[str, tuple[int, int]],
+    started: float = 0.0,
+    cells: dict[str, int] | None = None,
+) -> bytes:
     """What a name server says to a question."""
     told = dns.message.make_response(dns.message.from_wire(question))
     for place, (name, (port, priority)) in enumerate(rows.items()):
@@ -181,7 +188,8 @@
             dns.rrset.from_text(f"{SERVICE}.", 0, "IN", "SRV", f"{priority} 10 {port} {target}")
         )
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "A", "127.0.0.1"))
-        texts = f'"kind=std" "cell={place % 4}" "started={started:.3f}"'
+        cell = (cells or {}).get(name, place % 4)
+        texts = f'"kind=std" "cell={cell}" "started={started:.3f}"'
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "TXT", texts))
     soa = f"ns.fleet.local. root.fleet.local. {serial} 1 1 1 1"
     told.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
