Sessions at a host that the list drops are released there too: another process may answer

Cause: MediaHost.cut told the viewers alone where the list had dropped a host or had it elsewhere. Why this works: one release on an open connection; a host that is gone for good does not hear it, nothing is dialled for it.

--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -213,6 +213,9 @@
         for attempt in standing:
             if why == "silent" and self.connections:
                 self._release_at_host(attempt)  # it may only hang
+            elif not self.in_service:
+                # What answers on its connections may be another process, which knows nothing of its going.
+                self.send_on_session(frames.release(attempt.session), 0)
             self.finish(attempt, BINARY_ENDS[41], api.Load())
 
     def lost(self, connection: HostConnection, why: str) -> None:
--- a/tests/test_node_host_identity.py
+++ b/tests/test_node_host_identity.py
@@ -7,9 +7,10 @@
 from pathlib import Path
 
 import pytest
-from platform_standin import EXTRAS, ID, Platform, set_ups, until
+from platform_standin import EXTRAS, ID, Platform, playing, run, set_ups, until
 from replaced_hosts_trial import COLLIDING, play
 
+from burlmast.node import frames
 from burlmast.node.host_numbers import MOST, HostNumbers
 
 
@@ -43,6 +44,26 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize("how", ["another id there", "another address"])
+def test_what_stands_at_a_process_that_was_taken_for_a_host_is_released_there(
+    tmp_path: Path, how: str
+) -> None:
+    # Guards against sessions that go on at a new process while their viewers were told that they are over.
+    async def work(one: Platform) -> None:
+        line, host = await playing(one)
+        port, _ = one.names.rows.pop(host.name)
+        if how == "another id there":
+            one.names.rows["s-new"] = port, 0
+        else:
+            spare = next(each for each in one.hosts if each is not host)
+            one.names.rows[host.name] = one.names.rows.pop(spare.name)
+        one.names.serial += 1
+        assert await line.hear_end(ID, 3.0) < 3.0
+        await until(lambda: [message.session for message in host.of(frames.RELEASE)] == [int(ID, 16)])
+
+    run(work, tmp_path)
+
+
 def test_each_host_has_a_number_of_its_own_and_keeps_it() -> None:
     numbers = HostNumbers()
     first, second = numbers.of(COLLIDING[0]), numbers.of(COLLIDING[1])
