The list is read before a set-up is sent, also after a standstill

Cause: timers run first after a standstill and sockets are read in the order of their bytes; the answer lay in its socket. Why this works: a set-up that is about to be written waits while the name server's sockets hold something unread, for 16 answers at the most, and goes elsewhere by the drain that they tell; timers, retries and requests all come through there.

--- a/burlmast/node/host_interface.py
+++ b/burlmast/node/host_interface.py
@@ -50,6 +50,9 @@
     def unread(self, one: Try) -> bool:
         """Whether its viewer has written what has not been read yet."""
 
+    def list_unread(self) -> bool:
+        """Whether the name server has written something that was not read."""
+
     def shortage(self) -> None:
         """There was no descriptor for a connection."""
 
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -21,6 +21,7 @@
 MS = 1_000_000
 KEPT_FOR_HUNG_HOST = 4  # connections, any of which it may take for its next release
 UNWANTED_AFTER = 100 * MS  # after a request's deadline, when it has been answered
+LIST_READINGS = 16  # turns of the loop that a set-up waits for answers of the name server to be read
 MESSAGE_PATIENCE = 4  # times the settings' time for a connection, for a message whose bytes go on coming
 
 
@@ -309,12 +310,22 @@
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
 
     def send(self, connection: HostConnection, attempt: HostAttempt) -> None:
-        """Send it there, once what its viewer has written by now has been read."""
+        """Send it there, once what its viewer and the name server have written by now has been read."""
         attempt.connection = attempt.origin = connection
         connection.out[attempt.session] = attempt
         connection.carried.add(attempt.driver_attempt.playback.number)
         if self.pool.callbacks.unread(attempt.driver_attempt):
-            self.pool.after_reading(lambda: self.write(connection, attempt))
+            self.pool.after_reading(lambda: self._write_when_list_is_read(connection, attempt, LIST_READINGS))
+        else:
+            self._write_when_list_is_read(connection, attempt, LIST_READINGS)
+
+    def _write_when_list_is_read(
+        self, connection: HostConnection, attempt: HostAttempt, readings: int
+    ) -> None:
+        """The answer that says that this host drains may lie unread in its socket, as after a standstill: the
+        set-up then goes elsewhere by `drain`. One answer is read in a turn of the loop."""
+        if readings and self.pool.callbacks.list_unread():
+            self.pool.after_reading(lambda: self._write_when_list_is_read(connection, attempt, readings - 1))
         else:
             self.write(connection, attempt)
 
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -264,6 +264,10 @@
         """See `host_interface.HostCallbacks`."""
         return self.listener.unread(one.playback)
 
+    def list_unread(self) -> bool:
+        """See `host_interface.HostCallbacks`."""
+        return self.resolver.unread()
+
     def log_line(self, text: str) -> None:
         """See `host_interface.HostCallbacks`."""
         self.log.say(text)
--- a/burlmast/node/resolver.py
+++ b/burlmast/node/resolver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from typing import cast
 
@@ -19,9 +20,15 @@
         self.resolver = resolver
         self.transport: asyncio.DatagramTransport | None = None
         self.last_query_at = 0  # nanoseconds
+        self._poll = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def unread(self) -> bool:
+        """Whether something lies in it that the loop has not read."""
+        return self.transport is not None and not self.transport.is_closing() and bool(self._poll.poll(0))
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """An answer, or something else."""
@@ -91,6 +98,10 @@
         self._closed = True
         self._close_sockets()
 
+    def unread(self) -> bool:
+        """Whether an answer has come that the loop has not read."""
+        return any(query_socket.unread() for query_socket in self.sockets)
+
     def _close_sockets(self) -> None:
         for query_socket in self.sockets:
             query_socket.close()
--- a/tests/test_node_slow_name_server.py
+++ b/tests/test_node_slow_name_server.py
@@ -6,10 +6,13 @@
 import time
 import zlib
 from pathlib import Path
+from typing import Any
 
 import pytest
-from platform_standin import NameServer, Platform, name_server, run, until
+from platform_standin import EXTRAS, SDP, NameServer, Platform, name_server, reply, run, until
 
+from burlmast.node import frames
+from burlmast.node.lines import Line as Message
 from burlmast.node.query_schedule import QUERY_INTERVAL, SOCKETS_MOST
 
 INTERVAL = QUERY_INTERVAL / 1e9  # seconds
@@ -95,3 +98,32 @@
         await until(lambda: len(one.program.resolver.sockets) == 1, 14.0)
 
     run(work, tmp_path)
+
+
+@pytest.mark.parametrize("answers", [1, 5])
+def test_what_the_name_server_has_written_is_read_before_a_set_up_is_sent(
+    tmp_path: Path, answers: int
+) -> None:
+    # Guards against review/5: after a standstill set-ups went to hosts whose drain lay unread in the socket.
+    async def work(one: Platform) -> None:
+        extras = EXTRAS.replace("copies:4", "copies:1")  # the first host alone holds it
+        line = await one.line()
+        line.set_up(extras=extras)
+        assert (await line.hear())["type"] == "answer" and one.host_of() is one.hosts[0]
+        queries: list[tuple[bytes, Any]] = []
+        one.names.datagram_received = lambda data, addr: queries.append((data, addr))  # type: ignore[method-assign]
+        await until(lambda: len(queries) >= answers)
+        # From here on nothing is awaited: all of it is there when the loop goes on.
+        rows = dict(one.names.rows)
+        for place, (data, addr) in enumerate(queries[-answers:]):
+            if place == answers - 1:
+                rows[one.hosts[0].name] = one.hosts[0].port, 1
+            one.names.transport.sendto(reply(data, 2 + place, rows), addr)
+        viewer = next(iter(one.program.listener.viewers))
+        fields = {"class": "paid", "left": "1500", "key": "7f3a9c21e0b4d655", "extras": extras}
+        one.program.listener.received(viewer, Message("setup", "00000000000000aa", fields, sdp=SDP))
+        await until(lambda: one.program.roster.serial == 1 + answers)
+        await until(lambda: "00000000000000aa" not in one.program.listener.known)
+        assert len(one.hosts[0].of(frames.SETUP)) == 1, "the drain had been told"
+
+    run(work, tmp_path)
