--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -5,8 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
-from math import isfinite
-from typing import Any, NamedTuple
+from typing import Any
 
 from burlmast.api import Ending
 from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
@@ -22,11 +21,11 @@
 from burlmast.node.recent_ids import RecentIds
 from burlmast.node.request_queue import QueuedRequest
 from burlmast.node.request_turns import RequestTurns
+from burlmast.node.set_up import SessionRequest, WrongForm, parse_set_up, sound_id
 from burlmast.node.viewer_connection import SWEEP, UNSOUND_FOR, ViewerConnection
 from burlmast.shutdown import Shutdown
 
 MS = 1_000_000
-HEX = frozenset("0123456789abcdef")
 FREE = frozenset(("progress", "note", "rate", "move", "pong"))  # they want no answer
 CAUSES = {"rejected": lines.REFUSED, "aborted": lines.FAILED, "cut": lines.FAILED}
 ENDS = {Ending.SERVED: lines.ENDED}
@@ -35,17 +34,6 @@
 OPEN_MOST = 512  # requests of one connection that have no answer yet; beyond that it is refused at once
 
 
-class SessionRequest(NamedTuple):
-    """A set-up of sound form: what is decided on, and what its host gets."""
-
-    wanted: Wanted
-    sent: SetupPayload
-
-
-class WrongForm(Exception):
-    """A set-up that nothing can be done with."""
-
-
 class SessionView:
     """What the viewer of a playback is shown here: nothing but its answer, and its end."""
 
@@ -265,13 +253,13 @@
             self.arm()
 
     def _set_up(self, viewer: ViewerConnection, line: Line) -> None:
-        if len(line.id) != 16 or not HEX.issuperset(line.id):
+        if not sound_id(line.id):
             self.counts["no id"] += 1
             viewer.close("no_id")
             return
         try:
-            wanted, sent, at = self.check(line)
-        except (WrongForm, ValueError, OverflowError) as why:
+            request, at = parse_set_up(line, self.configuration)
+        except WrongForm as why:
             self.counts["wrong form"] += 1
             self.log_line(f"a set-up is refused: {why}")
             self.events.trace("request_refused", line.id, connection=viewer.name, reason="wrong_form")
@@ -282,7 +270,7 @@
             viewer.sound = True
             viewer.asked += 1
             if held is None:
-                self._hand_over(viewer, line.id, wanted, sent, at)
+                self._hand_over(viewer, line.id, request, at)
             return
         waiting = self.turns.queue.find(line.id)
         if held is not None or waiting is not None:
@@ -302,12 +290,11 @@
             return
         viewer.sound = True
         viewer.asked += 1
-        self._arrive(viewer, line.id, wanted, sent)
+        self._arrive(viewer, line.id, request)
 
-    def _arrive(self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: SetupPayload) -> None:
-        request = SessionRequest(wanted, sent)
-        allowed = self.shutdown.time_allowed(self.now(), wanted.patience)
-        size = len(sent.description) + len(sent.title)
+    def _arrive(self, viewer: ViewerConnection, name: str, request: SessionRequest) -> None:
+        allowed = self.shutdown.time_allowed(self.now(), request.wanted.patience)
+        size = len(request.sent.description) + len(request.sent.title)
         reason = self._no_room(viewer)
         if reason:
             now = self.now()
@@ -372,9 +359,7 @@
             self.known[name] = viewer.open[name] = playback
         self.arm()
 
-    def _hand_over(
-        self, viewer: ViewerConnection, name: str, wanted: Wanted, sent: SetupPayload, at: str
-    ) -> None:
+    def _hand_over(self, viewer: ViewerConnection, name: str, request: SessionRequest, at: str) -> None:
         if self.driver is None or self.host_number is None or self.handed_over is None:
             return
         host = self.host_number(at)
@@ -387,12 +372,12 @@
             self.events.trace("session_ended", name, connection=viewer.name, host=at, reason=reason)
             self.ends.send(name, lines.release(name, lines.CUT), viewer)
             return
-        self._coming = SessionView(sent, viewer)
+        self._coming = SessionView(request.sent, viewer)
         viewer.held += 1
         self.events.trace("session_handed_over", name, connection=viewer.name, host=at)
-        one = self.driver.hand_over(self.now(), wanted, name, host)
+        one = self.driver.hand_over(self.now(), request.wanted, name, host)
         self.known[name] = one.playback
-        self.handed_over(one, sent)
+        self.handed_over(one, request.sent)
         self.arm()
 
     def viewing(self, public: str, wanted: Wanted) -> SessionView:
@@ -402,49 +387,10 @@
     def may_be_asked(self, line: Line) -> bool:
         """Whether a set-up is sound, and for something that does not play yet."""
         try:
-            _, _, at = self.check(line)
-        except (WrongForm, ValueError, OverflowError):
+            _, at = parse_set_up(line, self.configuration)
+        except WrongForm:
             return False
-        return not at and len(line.id) == 16 and HEX.issuperset(line.id)
-
-    def check(self, line: Line) -> tuple[Wanted, SetupPayload, str]:
-        """A set-up's request, what its host gets, and where it plays already.
-
-        Raises WrongForm, ValueError, OverflowError."""
-        configuration, fields = self.configuration, line.fields
-        name = fields.get("class")
-        plan = configuration.plans.get(name) if isinstance(name, str) else None
-        if plan is None or not isinstance(name, str):
-            raise WrongForm("there is no such plan")
-        if not line.sdp:
-            raise WrongForm("it has no description")
-        parts = [part.partition(":") for part in str(fields.get("extras", "")).split(";") if part]
-        extras = {key: value for key, _, value in parts}
-        if len(extras) != len(parts):
-            raise WrongForm("a figure stands twice")
-        at = extras.get("at", "")
-        patience = configuration.abandon_times[plan] / MS if at else float(fields.get("left", "nan"))
-        # A viewer's clock may run a little otherwise; beyond that no viewer waits longer than its plan does.
-        if not (isfinite(patience) and 0 < patience * MS <= 2 * configuration.abandon_times[plan]):
-            raise WrongForm(f"it leaves no such time: {fields.get('left')!r:.20}")
-        key = str(fields.get("key", ""))
-        if not 0 < len(key) <= 16 or not HEX.issuperset(key):
-            raise WrongForm("it names no title")
-        top, home, copies = (
-            float(extras[one]) if one in extras else -1.0 for one in ("top", "home", "copies")
-        )
-        cells = configuration.terms.lineup.cells
-        if not (0 <= top < 256 and 0 <= home < cells and 1 <= copies < 1e6):
-            raise WrongForm("a figure is out of range")
-        viewer = int(extras.get("viewer", "0") or "0", 16)
-        if not 0 <= viewer < 1 << 64:
-            raise WrongForm("its viewer is out of range")
-        wanted = Wanted(
-            plan, configuration.terms.plans[plan].floor, int(top), int(home), int(copies), int(key, 16), key,
-            viewer, round(patience * MS), extras.get("again") == "1", 0,
-        )  # fmt: skip
-        sent = SetupPayload(int(line.id, 16), name.encode(), key.encode(), line.sdp.encode())
-        return wanted, sent, at
+        return not at and sound_id(line.id)
 
     # What the driver says.
 
