A request is decided on though all that waited before it on its connection has left the queue

What callers would have seen: after a burst that expired or was given up, the next request on that connection had no answer until another connection asked. Cause: requests that had left the queue stayed in their connection's lane and were counted, so that no turn was asked for. Evidence: the new test's two forms failed before. Why this works: a lane holds live requests alone, an empty one is removed; a turn asks for the next before it does anything.

--- a/burlmast/node/request_queue.py
+++ b/burlmast/node/request_queue.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -42,10 +41,10 @@
 
     def __init__(self) -> None:
         self._waiting: dict[str, QueuedRequest[Connection, Content]] = {}
-        self._lanes: dict[Connection, deque[QueuedRequest[Connection, Content]]] = {}
+        # What waits by connection, the one whose turn it is first; none is empty.
+        self._lanes: dict[Connection, dict[str, QueuedRequest[Connection, Content]]] = {}
         self._sizes: dict[Connection, int] = {}
         self._size = 0
-        self._turns: deque[Connection] = deque()
         self._expiries: list[tuple[int, int, QueuedRequest[Connection, Content]]] = []
         self._count = 0
 
@@ -53,7 +52,7 @@
         return len(self._waiting)
 
     def waiting(self, connection: Connection) -> int:
-        """How many requests of this connection may still be in its lane."""
+        """How many requests of this connection wait."""
         return len(self._lanes.get(connection, ()))
 
     def add(
@@ -68,10 +67,7 @@
         ):
             return False
         request = QueuedRequest(name, connection, content, size, now, now + min(WAIT_MOST, patience // 2))
-        if connection not in self._lanes:
-            self._lanes[connection] = deque()
-            self._turns.append(connection)
-        self._lanes[connection].append(request)
+        self._lanes.setdefault(connection, {})[name] = request
         self._sizes[connection] = of_connection
         self._size += size
         self._waiting[name] = request
@@ -81,19 +77,14 @@
 
     def take(self) -> QueuedRequest[Connection, Content] | None:
         """The next request: of the connection whose turn it is, which then goes behind the others."""
-        while self._turns:
-            connection = self._turns.popleft()
-            lane = self._lanes[connection]
-            while lane and not lane[0].waits:
-                lane.popleft()
-            if not lane:
-                del self._lanes[connection], self._sizes[connection]
-                continue
-            request = lane.popleft()
-            self._turns.append(connection)
-            self._settle(request)
-            return request
-        return None
+        if not self._lanes:
+            return None
+        connection, lane = next(iter(self._lanes.items()))
+        request = next(iter(lane.values()))
+        self._settle(request)
+        if lane:
+            self._lanes[connection] = self._lanes.pop(connection)
+        return request
 
     def find(self, name: str) -> QueuedRequest[Connection, Content] | None:
         """The request that waits under this id."""
@@ -108,7 +99,7 @@
 
     def drop(self, connection: Connection) -> list[QueuedRequest[Connection, Content]]:
         """Take out all that waits of this connection."""
-        dropped = [request for request in self._lanes.get(connection, ()) if request.waits]
+        dropped = list(self._lanes.get(connection, {}).values())
         for request in dropped:
             self._settle(request)
         return dropped
@@ -126,6 +117,9 @@
     def _settle(self, request: QueuedRequest[Connection, Content]) -> None:
         request.waits = False
         del self._waiting[request.name]
+        lane = self._lanes[request.connection]
+        del lane[request.name]
         self._size -= request.size
-        if request.connection in self._sizes:
-            self._sizes[request.connection] -= request.size
+        self._sizes[request.connection] -= request.size
+        if not lane:
+            del self._lanes[request.connection], self._sizes[request.connection]
--- a/burlmast/node/request_turns.py
+++ b/burlmast/node/request_turns.py
@@ -43,6 +43,8 @@
 
     def _next_turn(self) -> None:
         self._turn_ends = None
+        if len(self.queue):
+            self._time_left(self._now())  # there is a next turn, whatever comes of this one
         for expired in self.queue.expired(self._now()):
             self._refuse(expired, "waited_too_long")
         while len(self.queue) and self._time_left(self._now()):
--- a/tests/test_node_overload.py
+++ b/tests/test_node_overload.py
@@ -165,3 +165,30 @@
     now[0] += WAIT_MOST
     soon.pop()()
     assert len(decided) < 10 and len(refused) + len(decided) == 201
+
+
+@pytest.mark.parametrize("how", ["expired", "cancelled"])
+def test_a_request_after_all_that_waited_has_left_the_queue_is_decided_on(how: str) -> None:
+    # Guards against a lane of requests that are over: the next one there waited for a turn that never came.
+    now, decided, refused, soon = [0], list[str](), list[str](), []
+
+    def decide(request: object) -> None:
+        decided.append(request.name)  # type: ignore[attr-defined]
+        now[0] += 5 * MS
+
+    turns: RequestTurns[str, int] = RequestTurns(
+        lambda: now[0], soon.append, decide, lambda request, reason: refused.append(request.name)
+    )
+    for place in range(20):
+        turns.arrive(f"a{place}", "a", 0, 10, 10**10)
+    if how == "cancelled":
+        for place in range(20):
+            turns.queue.cancel(f"a{place}")
+    now[0] += WAIT_MOST
+    while soon:
+        soon.pop()()
+    assert len(turns.queue) == turns.queue.waiting("a") == 0
+    turns.arrive("later", "a", 0, 10, 10**10)
+    while soon:
+        soon.pop()()
+    assert "later" in decided
