--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,87 +1,71 @@
-"""Playbacks at a media host that may not be probed, and one lost answer."""
+"""An answer whose description fits in a media host's message and not in a line to the viewer."""
 
 import asyncio
+import json
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from platform2 import TROUBLE, Case, CouldNotRun, plan, play, settings  # noqa: E402
+from platform2 import (  # noqa: E402
+    ANSWER,
+    DESCRIPTION,
+    SDP,
+    TROUBLE,
+    Case,
+    CouldNotRun,
+    frame,
+    play,
+    settings,
+)
 
-PLAYING = 5  # playbacks of the paid plan, which stand to the end of the case
-NOTE_EVERY = 3.0  # toldEveryMs: on one session of the gateway
-ASK_EVERY = 1.0
-SHORT = 2.0  # seconds for which the others play
-LASTS = 20.0
+LONGEST = 16 * 1024  # "At most 16 KiB fit in one message"
+ASK = 5  # requests
+SIZE = 16_000 if TROUBLE else 400  # of the description
 EXTRAS = "home:0;copies:1;top:1;viewer:00000000b4d65521"
 
 
+def description(name: str) -> str:
+    """A description of usual lines, so long."""
+    told = f"v=0\r\ns={name}\r\nc=IN IP4 127.0.0.1\r\n"
+    while len(told) < SIZE - 40:
+        told += f"a=candidate:{len(told)} 1 UDP 9 127.0.0.1\r\n"
+    return told
+
+
 async def work(case: Case) -> list[str]:
     host = await case.host("s-0000aaaa")
-    host.report = b"cpu_share:0.300"
-    told = settings(allowed__probes=False, report__fields=["cpu_share"], familyInfo__toldEveryMs=3000.0)
-    told["requestClasses"] = [plan("live-interview", 1000, 3000, "once"), plan("job-briefing", 1000, 4000)]
-    told["familyInfo"].update(
-        classFloor=[1, 0], classLive=[True, False], classSeats=[10, 0], classTop=[3, 3],
-        scaleByClass=[1.2, 0.7], refusesFrom=0.0,
-    )  # fmt: skip
-    gateway = await case.begin(told)
-    await asyncio.sleep(4)  # until the caution after its start is over
-    line = await case.viewers(gateway)
-    playing = [case.new_id() for _ in range(PLAYING)]
-    for number, name in enumerate(playing):
-        line.set_up(name, "live-interview", f"b{number}", 3000, EXTRAS)
-        if not await line.until(lambda name=name: line.at(name, "answer"), 4):
-            raise CouldNotRun("a playback was not set up")
-    began = time.time()
-    lost: list[str] = []
 
     def does(link, message) -> None:
-        """One answer is lost: the work is done, nothing comes back."""
-        if TROUBLE and not lost and time.time() - began > 3:
-            lost.append(message.name)
-            case.record.say(f"{host.name}: the answer to {message.name} is lost")
-        else:
-            host.answer(link, message)
+        """The session stands."""
+        if host.out.pop(message.session, None) is None:
+            return
+        host.standing[message.session] = link
+        told = {DESCRIPTION: description(message.name).encode()}
+        size = len(frame(ANSWER, message.session, told))
+        case.record.say(f"{host.name}: answer {message.name}, a message of {size} bytes")
+        assert size <= LONGEST
+        link.send(ANSWER, message.session, told)
 
     host.on_set_up = does
-
-    async def notes() -> None:
-        while True:
-            await asyncio.sleep(NOTE_EVERY)
-            if host.standing:
-                host.note(next(iter(host.standing)), b"wire", 0.3)
-
-    telling = asyncio.create_task(notes())
-    ends: list[asyncio.TimerHandle] = []
-    number = 0
-    while time.time() - began < LASTS:
-        number += 1
-        name = case.new_id()
-        line.set_up(name, "job-briefing", f"c{number:x}", 4000, EXTRAS)
-
-        def over(session: int = int(name, 16)) -> None:
-            if session in host.standing:
-                host.end(session)
-
-        ends.append(asyncio.get_running_loop().call_later(SHORT, over))
-        await asyncio.sleep(ASK_EVERY)
-    telling.cancel()
-    for each in ends:
-        each.cancel()
-    if TROUBLE and not lost:
-        raise CouldNotRun("no answer was lost")
-    told_end = {name: line.at(name, "release") for name in playing}
-    ended = {message.name for message in host.released if message.name in told_end}
+    gateway = await case.begin(settings())
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port, limit=1 << 20)
     broken = []
-    for name, at in told_end.items():
-        if at or name in ended:
-            after = f"{at - case.record.began:.3f}" if at else "-"
-            broken.append(
-                f"{name} plays at {host.name}, which never ended it; its viewer was told its end at {after}"
-            )
+    for number in range(ASK):
+        name = case.new_id()
+        fields = {"class": "recorded", "left": "3000", "key": f"{number + 1:x}", "extras": EXTRAS}
+        case.record.say(f"viewers: set-up {name}")
+        told = {"type": "setup", "id": name, "fields": fields, "sdp": SDP}
+        writer.write(json.dumps(told).encode() + b"\n")
+        line = await asyncio.wait_for(reader.readline(), 5)
+        if not line.endswith(b"\n"):
+            raise CouldNotRun("the connection was closed")
+        kind = json.loads(line)["type"]
+        case.record.say(f"viewers: {kind} {name}, a line of {len(line)} bytes with its line feed")
+        if len(line) > LONGEST:
+            broken.append(f"{name}: {kind} in a line of {len(line)} bytes; {LONGEST} fit in a message")
+    writer.close()
     return broken
 
 
