An answer too long for a line to its viewer fails the request and is released at its host

Seen by callers: a description of 16,000 bytes came in a line of 16,927 bytes, 16,384 are allowed, and its session played on at its host. Cause: one text has two encodings of different length, and only frames had a limit for what is written. Now one function has the limit and both codecs apply it where they encode; what cannot be passed on is answered with a failure at once, released, and its seat is free. A pong to an overlong id is the same fault and closes its connection; a set-up is encoded before anything is booked.

--- a/burlmast/node/frames.py
+++ b/burlmast/node/frames.py
@@ -11,8 +11,8 @@
 
 from burlmast import api
 from burlmast.api import News
+from burlmast.node.message_size import MESSAGE_BYTES_MAX, MessageTooLong, within_limit
 
-LONGEST = 16 * 1024  # bytes of one message, as the platform states it
 SETUP, PROGRESS, ANSWER, RELEASE, RELEASED = 1, 6, 9, 12, 16
 NOTE, MOVE, PING, PONG, RATE = 44, 51, 52, 53, 60
 KINDS = frozenset((SETUP, PROGRESS, ANSWER, RELEASE, RELEASED, NOTE, MOVE, PING, PONG, RATE))
@@ -73,12 +73,12 @@
 
 
 def frame(kind: int, session: int, parameters: dict[int, bytes]) -> bytes:
-    """A message as it is sent. Raises ValueError where it would be too long."""
+    """A message as it is sent. Raises MessageTooLong."""
     body = b"".join(PARAMETER.pack(code, len(value)) + value for code, value in parameters.items())
     size = HEAD.size - 2 + len(body)
-    if size + 2 > LONGEST:
-        raise ValueError(f"a message of {size} bytes")
-    return HEAD.pack(size, kind, session) + body
+    if size > MESSAGE_BYTES_MAX:  # it may not even fit in the field of the length
+        raise MessageTooLong(size + 2)
+    return within_limit(HEAD.pack(size, kind, session) + body)
 
 
 def release(session: int) -> bytes:
@@ -124,7 +124,7 @@
         try:
             while len(data) - at >= 2:
                 size = int.from_bytes(data[at : at + 2], "big")
-                if not HEAD.size - 2 <= size <= LONGEST:
+                if not HEAD.size - 2 <= size <= MESSAGE_BYTES_MAX:
                     raise Unreadable(f"a message of {size} bytes")
                 if len(data) - at >= 3 and data[at + 2] not in KINDS:
                     raise Unreadable(f"a message of type {data[at + 2]}")
--- a/burlmast/node/lines.py
+++ b/burlmast/node/lines.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-LONGEST = 16 * 1024  # bytes of one message, as the platform states it
+from burlmast.node.message_size import MESSAGE_BYTES_MAX, within_limit
+
 REFUSED, FAILED, ENDED, CUT, NONSENSE = 34, 41, 16, 41, 100  # causes of releases; 34 says: ask again freely
 
 
@@ -47,7 +48,7 @@
         found: list[Line] = []
         for raw in whole:
             try:
-                if len(raw) >= LONGEST:
+                if len(raw) >= MESSAGE_BYTES_MAX:
                     raise Unreadable(f"a line of {len(raw)} bytes")
                 if raw.strip():
                     found.append(LINE.decode(raw))
@@ -55,17 +56,17 @@
                 return found, Unreadable(f"not a message: {why}")
             except Unreadable as why:
                 return found, why
-        if len(self._rest) >= LONGEST:
-            return found, Unreadable(f"a line of over {LONGEST} bytes")
+        if len(self._rest) >= MESSAGE_BYTES_MAX:
+            return found, Unreadable(f"a line of over {MESSAGE_BYTES_MAX} bytes")
         return found, None
 
 
 def _line(kind: str, name: str, **more: Any) -> bytes:
-    return ENCODER.encode({"type": kind, "id": name, "fields": {}, **more}) + b"\n"
+    return within_limit(ENCODER.encode({"type": kind, "id": name, "fields": {}, **more}) + b"\n")
 
 
 def answer(name: str, description: str) -> bytes:
-    """It plays."""
+    """It plays. Raises MessageTooLong where the description takes too many bytes as JSON."""
     return _line("answer", name, sdp=description)
 
 
@@ -75,7 +76,7 @@
 
 
 def pong(name: str, passed: bool) -> bytes:
-    """The answer to a test."""
+    """The answer to a test. Raises MessageTooLong."""
     return _line("pong", name, cause=int(passed))
 
 
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -336,7 +336,7 @@
         if now >= one.due:
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
             return
-        _, plan, title, description = attempt.sent
+        message = self._set_up_message(attempt, now)
         attempt.written, attempt.written_at = True, now
         attempt.driver_attempt.written = True
         self.pool.events.trace(
@@ -346,19 +346,20 @@
             host=self.name,
             connection=connection.name,
         )
-        connection.write(
-            frames.frame(
-                frames.SETUP,
-                attempt.session,
-                {
-                    frames.CLASS: plan,
-                    frames.WAIT: str((one.due - now) // MS).encode(),
-                    frames.TITLE: title,
-                    frames.RUNG: str(one.rung).encode(),
-                    frames.DESCRIPTION: description,
-                },
-            )
-        )
+        connection.write(message)
+
+    @staticmethod
+    def _set_up_message(attempt: HostAttempt, now: int) -> bytes:
+        """The set-up as its host gets it. What fits in a viewer's line fits in it."""
+        _, plan, title, description = attempt.sent
+        parameters = {
+            frames.CLASS: plan,
+            frames.WAIT: str((attempt.driver_attempt.due - now) // MS).encode(),
+            frames.TITLE: title,
+            frames.RUNG: str(attempt.driver_attempt.rung).encode(),
+            frames.DESCRIPTION: description,
+        }
+        return frames.frame(frames.SETUP, attempt.session, parameters)
 
     def forget(self, attempt: HostAttempt) -> None:
         if self.attempts.get(attempt.session) is attempt:
--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -11,6 +11,7 @@
 from burlmast.edge.driver import Playback
 from burlmast.node import lines
 from burlmast.node.lines import Line, LineReader
+from burlmast.node.message_size import MESSAGE_BYTES_MAX
 
 MS = 1_000_000
 SWEEP = 250 * MS  # between looks at silent connections
@@ -19,7 +20,7 @@
 # The same for a first line whose bytes go on coming, with one sweep to spare.
 SLOW_FIRST_LINE = 2_500 * MS
 WRITING = 500 * MS  # since the last byte of a line that has begun; after that nobody writes it
-WRITE_MOST = 8 * lines.LONGEST  # bytes that wait for a slow reader before its connection is closed
+WRITE_MOST = 8 * MESSAGE_BYTES_MAX  # bytes that wait for a slow reader before its connection is closed
 # One for all: what is read is taken out of it before anything else is read. Its size bounds what is done
 # for one connection in a turn of the loop.
 BUFFER = bytearray(16 * 1024)
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -18,6 +18,7 @@
 from burlmast.node.host_interface import SetupPayload
 from burlmast.node.isolation import for_each
 from burlmast.node.lines import Line
+from burlmast.node.message_size import MessageTooLong
 from burlmast.node.recent_ids import RecentIds
 from burlmast.node.request_queue import QueuedRequest
 from burlmast.node.request_turns import RequestTurns
@@ -228,8 +229,14 @@
             viewer.close("unknown_message_type")
 
     def _ping(self, viewer: ViewerConnection, line: Line) -> None:
+        try:
+            reply = lines.pong(line.id, self.ready)
+        except MessageTooLong:
+            self.counts["id too long"] += 1
+            viewer.close("id_too_long")
+            return
         viewer.sound = True
-        viewer.write(lines.pong(line.id, self.ready))
+        viewer.write(reply)
 
     def _released(self, viewer: ViewerConnection, line: Line) -> None:
         self.ends.acknowledge(line.id, viewer)
@@ -409,15 +416,35 @@
             self.leave(playback)
             return
         if final.kind == "plays":
-            flowing = [one for one in playback.tries if one.state == "flowing"]
-            viewer.write(lines.answer(name, flowing[-1].handle.description))
-            viewer.established += 1
-            if isinstance(playback.timeline, SessionView):
-                playback.timeline.answered_at = self.now()
+            self._answer_established(playback, viewer)
         else:
-            viewer.write(lines.release(name, CAUSES[final.kind]))
-        self.counts[final.kind] += 1
-        self.events.trace("request_answered", name, connection=viewer.name, answer=final.kind)
+            self._write_answer(viewer, name, final.kind, lines.release(name, CAUSES[final.kind]))
+
+    def _answer_established(self, playback: Playback, viewer: ViewerConnection) -> None:
+        """Pass the host's description on; where it cannot be, the request fails and its session is released.
+
+        It is not tried elsewhere: another host would likely describe the same session as long."""
+        attempt = next(each for each in reversed(playback.tries) if each.state == "flowing")
+        name = playback.public
+        try:
+            message = lines.answer(name, attempt.handle.description)
+        except MessageTooLong as error:
+            self.events.record(
+                "answer_too_long", session=name, host=attempt.handle.host.name, bytes=error.size
+            )
+            self._write_answer(viewer, name, "answer too long", lines.release(name, lines.FAILED))
+            playback.reply = None
+            self.leave(playback)
+            return
+        self._write_answer(viewer, name, "plays", message)
+        viewer.established += 1
+        if isinstance(playback.timeline, SessionView):
+            playback.timeline.answered_at = self.now()
+
+    def _write_answer(self, viewer: ViewerConnection, name: str, kind: str, message: bytes) -> None:
+        viewer.write(message)
+        self.counts[kind] += 1
+        self.events.trace("request_answered", name, connection=viewer.name, answer=kind.replace(" ", "_"))
 
     def over(self, playback: Playback) -> None:
         """Nothing is held for it any more; a viewer whose playback ended without it is told."""
--- a/tests/test_node_core.py
+++ b/tests/test_node_core.py
@@ -23,6 +23,7 @@
 from burlmast.node.configuration import BadConfiguration, from_variables, read
 from burlmast.node.frames import Frame, FrameReader, frame
 from burlmast.node.lines import LineReader
+from burlmast.node.message_size import MESSAGE_BYTES_MAX
 from burlmast.node.names import Unsound, query, read_answer, read_event
 from burlmast.node.query_schedule import (
     ANSWER_TAKEN_FOR,
@@ -110,7 +111,7 @@
 
 def test_a_line_without_end_is_given_up_at_the_longest() -> None:
     reader = LineReader()
-    assert reader.feed(b"x" * (lines.LONGEST - 1)) == ([], None)
+    assert reader.feed(b"x" * (MESSAGE_BYTES_MAX - 1)) == ([], None)
     assert reader.feed(b"x")[1] is not None
 
 
