A set-up attempt has a state by name, in a module beside the driver; renamed from Try

Now AttemptState says decided, written, established or ended, and the host's side reads the time of the write from there. Behaviour unchanged.

--- a/burlmast/edge/attendant.py
+++ b/burlmast/edge/attendant.py
@@ -8,7 +8,8 @@
 from burlmast import api
 from burlmast.api import Ending, News
 from burlmast.edge.clock import Clock
-from burlmast.edge.driver import Driver, Try
+from burlmast.edge.driver import Driver
+from burlmast.edge.playback import Attempt
 
 
 class Attendant:
@@ -58,17 +59,17 @@
 
     # The hosts' ear.
 
-    def flowing(self, one: Try) -> None:
+    def flowing(self, one: Attempt) -> None:
         """See `Driver.flowing`."""
         self.driver.flowing(self.now(), one)
         self.arm()
 
-    def ended(self, one: Try, ending: Ending, load: api.Load) -> None:
+    def ended(self, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
         self.driver.ended(self.now(), one, ending, load)
         self.arm()
 
-    def noted(self, one: Try, news: News, value: float) -> None:
+    def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
         self.driver.noted(self.now(), one, news, value)
         self.arm()
--- a/burlmast/edge/changing.py
+++ b/burlmast/edge/changing.py
@@ -12,7 +12,8 @@
 
 from burlmast import api
 from burlmast.api import Ending
-from burlmast.edge.driver import ACTIONS, Alarm, Driver, Playback, Policy, Shown, Try, Wanted
+from burlmast.edge.driver import ACTIONS, Alarm, Driver, Policy
+from burlmast.edge.playback import Attempt, AttemptState, Playback, Shown, Wanted
 
 
 class Mind:
@@ -45,9 +46,9 @@
         super().__init__(policy, *words)
         self._mind.policy = self.policy
 
-    def noted(self, now: int, one: Try, news: api.News, value: float) -> None:
+    def noted(self, now: int, one: Attempt, news: api.News, value: float) -> None:
         """As a `Driver`, and counts deliveries that fell short of their rate."""
-        if news is api.News.SHARE and value < 1.0 and one.state == "flowing":
+        if news is api.News.SHARE and value < 1.0 and one.established:
             self.counts["short"] += 1
         super().noted(now, one, news, value)
 
@@ -122,7 +123,7 @@
             former.owes -= 1
         super()._step(now, playback, happening, thing)
 
-    def ended(self, now: int, one: Try, ending: Ending, load: api.Load) -> None:
+    def ended(self, now: int, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
         # What is over is held no more by the time that the decisions hear of it.
         before, self._ending = self._ending, one.playback
@@ -196,8 +197,8 @@
                 ACTIONS[type(action)](self, self._now, action)
 
     def _moot(self, playback: PassedOn, mind: Mind, host: int) -> None:
-        one = Try(playback, len(playback.tries), host, self._now)
-        one.state, one.ending = "ended", Ending.MOOT
+        one = Attempt(playback, len(playback.tries), host, self._now)
+        one.state, one.ending = AttemptState.ENDED, Ending.MOOT
         playback.tries.append(one)
         self.counts["moot after a change"] += 1
         words = playback.number, one.place, host, Ending.MOOT, 0, False, api.Load()
--- a/burlmast/edge/door.py
+++ b/burlmast/edge/door.py
@@ -11,8 +11,9 @@
 
 import msgspec
 
-from burlmast.edge.driver import Driver, Final, Playback, Wanted
+from burlmast.edge.driver import Driver
 from burlmast.edge.limits import Doorkeeper
+from burlmast.edge.playback import Final, Playback, Wanted
 from burlmast.edge.together import Titles
 from burlmast.edge.words import ASK
 from burlmast.http1.messages import Headers
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -11,10 +11,11 @@
 from collections.abc import Callable
 from enum import IntEnum
 from heapq import heappop, heappush
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 from burlmast import api
 from burlmast.api import Ending
+from burlmast.edge.playback import Attempt, AttemptState, Final, Playback, Shown, Wanted
 from burlmast.logic import NEVER_RAN
 
 
@@ -28,112 +29,16 @@
         """The actions that an event asks for, in their order."""
 
 
-class Wanted(NamedTuple):
-    """A request for a playback as the door has checked it; times in nanoseconds."""
-
-    plan: int
-    floor: int
-    top: int
-    home: int
-    copies: int
-    title: int
-    title_name: str
-    viewer: int
-    patience: int
-    returned: bool
-    lasts: int
-    viewer_name: str = ""
-
-
-class Shown(Protocol):
-    """What a playback's viewer is shown of it, by the front that the playback came through."""
-
-    def begin(self, now: int, host: str, rung: int) -> None:
-        """It plays at a host's address."""
-
-    def step(self, now: int, rung: int) -> None:
-        """Its rung changes."""
-
-    def end(self, now: int) -> None:
-        """Nothing more comes of it."""
-
-
-class Final(NamedTuple):
-    """The one answer to a request; `wait` is advice in nanoseconds, 0 for none."""
-
-    kind: str  # plays, rejected, aborted, cut
-    wait: int = 0
-
-
-class Try:
-    """A setup try and, once it flows, the stream that came of it."""
-
-    __slots__ = (
-        "due",
-        "ending",
-        "handle",
-        "host",
-        "place",
-        "playback",
-        "rung",
-        "sent_at",
-        "state",
-        "written",
-    )
-
-    def __init__(self, playback: Playback, place: int, host: int, sent_at: int) -> None:
-        self.playback, self.place, self.host, self.sent_at = playback, place, host, sent_at
-        self.due = sent_at  # until when it is waited for
-        self.state = "out"  # out, flowing, ended
-        self.rung = playback.rung
-        self.ending: Ending | None = None
-        self.handle: Any = None  # the shell's
-        self.written = False  # its set-up has been written to its host: the shell says so
-
-
-class Playback:
-    """A request for a playback and what plays of it."""
-
-    __slots__ = (
-        "abandon",
-        "heard",
-        "number",
-        "public",
-        "reply",
-        "rung",
-        "state",
-        "timeline",
-        "tries",
-        "wanted",
-    )
-
-    def __init__(
-        self, number: int, public: str, wanted: Wanted, now: int, timeline: Shown, reply: Any
-    ) -> None:
-        self.number, self.public, self.wanted, self.reply = number, public, wanted, reply
-        self.state = "asked"
-        self.rung = wanted.floor  # until the decisions say otherwise
-        self.tries: list[Try] = []
-        self.timeline = timeline
-        self.abandon = now + wanted.patience
-        self.heard = now
-
-    @property
-    def out(self) -> list[Try]:
-        """Tries that have not ended."""
-        return [one for one in self.tries if one.state != "ended"]
-
-
 class Outside(Protocol):
     """The sockets' side."""
 
-    def open_try(self, one: Try) -> None:
+    def open_attempt(self, one: Attempt) -> None:
         """Send the set-up; `Driver.flowing` and `Driver.ended` tell what comes of it."""
 
-    def close_try(self, one: Try) -> None:
+    def close_attempt(self, one: Attempt) -> None:
         """Close its connection; the driver has ended the try already."""
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         """Tell the host; `Driver.rung_stays` where it could not be changed."""
 
     def probe(self, host: int) -> None:
@@ -165,7 +70,7 @@
     """What an entry of the heap is for."""
 
     BELL = 0
-    TRY_DUE = 1
+    ATTEMPT_DUE = 1
     OVERDUE = 2
     UNHEARD = 3
 
@@ -234,9 +139,9 @@
     def _bell(self, now: int, token: int) -> None:
         self._hand(now, api.Bell(token))
 
-    def _try_due(self, now: int, one: Try) -> None:
-        if one.state == "out":
-            self._outside.close_try(one)
+    def _attempt_due(self, now: int, one: Attempt) -> None:
+        if one.out:
+            self._outside.close_attempt(one)
             self.ended(now, one, Ending.TIMEOUT, api.Load())
 
     def _overdue(self, now: int, playback: Playback) -> None:
@@ -293,14 +198,14 @@
             wanted.lasts,
         )
 
-    def hand_over(self, now: int, wanted: Wanted, public: str, host: int) -> Try:
+    def hand_over(self, now: int, wanted: Wanted, public: str, host: int) -> Attempt:
         """What plays at a host already, set up by an earlier life of this gateway; no answer is owed."""
         playback = self._hold(now, wanted, None, public, self._timeline(public, wanted))
         playback.state = "playing"
         self.playing += 1
         self.counts["handed over"] += 1
-        one = Try(playback, 0, host, now)
-        one.state, one.written = "flowing", True
+        one = Attempt(playback, 0, host, now)
+        one.state, one.written_at = AttemptState.ESTABLISHED, now
         playback.tries.append(one)
         self.shown[public] = playback
         self._hand(now, api.HandedOver(self._request(playback, moved=False), host))
@@ -331,36 +236,36 @@
         """Where the list says that a host is."""
         return self._addresses.get(host)
 
-    def flowing(self, now: int, one: Try) -> None:
+    def flowing(self, now: int, one: Attempt) -> None:
         """The host has begun to deliver."""
-        if one.state != "out" or self.failed:
+        if not one.out or self.failed:
             return
-        one.state = "flowing"
+        one.state = AttemptState.ESTABLISHED
         self._step(now, one.playback, "flowing", one)
 
-    def ended(self, now: int, one: Try, ending: Ending, load: api.Load) -> None:
+    def ended(self, now: int, one: Attempt, ending: Ending, load: api.Load) -> None:
         """A try, or the stream that came of it, has ended; said again it changes nothing."""
-        if one.state == "ended":
+        if one.state is AttemptState.ENDED:
             return
-        flowed = one.state == "flowing"
-        one.state, one.ending = "ended", ending
+        established = one.established
+        one.state, one.ending = AttemptState.ENDED, ending
         playback = one.playback
         self.counts[f"ended {ending.value}"] += 1
-        if flowed:
+        if established:
             self._step(now, playback, "stream over", one)
         final = playback.state != "asked"
-        took = max(0, now - one.sent_at)
+        took = max(0, now - one.decided_at)
         self._hand(now, api.Ended(playback.number, one.place, one.host, ending, took, final, load))
         self._tidy(playback)
 
-    def noted(self, now: int, one: Try, news: api.News, value: float) -> None:
+    def noted(self, now: int, one: Attempt, news: api.News, value: float) -> None:
         """The host tells of a stream's delivery, link or uplink."""
-        if one.state != "ended":
+        if one.state is not AttemptState.ENDED:
             self._hand(now, api.Note(one.playback.number, one.place, one.host, news, value))
 
-    def rung_stays(self, now: int, one: Try, rung: int) -> None:
+    def rung_stays(self, now: int, one: Attempt, rung: int) -> None:
         """A change of rung did not reach the host; this one is in force."""
-        if one.state == "flowing" and one.playback.state == "playing":
+        if one.established and one.playback.state == "playing":
             one.rung = one.playback.rung = rung
             one.playback.timeline.step(now, rung)
             self._hand(now, api.Note(one.playback.number, one.place, one.host, api.News.RUNG, float(rung)))
@@ -415,8 +320,8 @@
                 self._answer(now, playback, Final("rejected" if sure else "aborted"))
                 playback.state = "refused"
             for one in playback.out:
-                one.state = "ended"
-                self._outside.close_try(one)
+                one.state = AttemptState.ENDED
+                self._outside.close_attempt(one)
             playback.timeline.end(now)
         self._outside.fault(event, why)
 
@@ -434,7 +339,7 @@
             effect(self, now, playback, thing)
         self._tidy(playback)
 
-    def _plays(self, now: int, playback: Playback, one: Try) -> None:
+    def _plays(self, now: int, playback: Playback, one: Attempt) -> None:
         playback.heard = now
         playback.timeline.begin(now, self._addresses.get(one.host, ""), playback.rung)
         known = playback.public in self.shown
@@ -443,8 +348,8 @@
             self._set(now + self._unheard, Alarm.UNHEARD, playback)
         if not known:
             self._answer(now, playback, Final("plays"))
-        self._hand(now, api.Flowing(playback.number, one.place, one.host, max(0, now - one.sent_at)))
-        if one.state == "flowing" and one.rung != playback.rung:
+        self._hand(now, api.Flowing(playback.number, one.place, one.host, max(0, now - one.decided_at)))
+        if one.established and one.rung != playback.rung:
             self._change(one, playback.rung)
 
     def _refused(self, now: int, playback: Playback, final: Final) -> None:
@@ -487,13 +392,13 @@
             if self._unheard is not None:
                 self._set(back.heard + self._unheard, Alarm.UNHEARD, back)
 
-    def _unwanted(self, now: int, playback: Playback, one: Try) -> None:
-        self._outside.close_try(one)
+    def _unwanted(self, now: int, playback: Playback, one: Attempt) -> None:
+        self._outside.close_attempt(one)
         self.ended(now, one, Ending.CALLED_OFF, api.Load())
 
     def _close(self, now: int, playback: Playback) -> None:
         for one in playback.out:
-            self._outside.close_try(one)
+            self._outside.close_attempt(one)
             self.ended(now, one, Ending.CALLED_OFF, api.Load())
 
     def _tidy(self, playback: Playback) -> None:
@@ -516,7 +421,7 @@
         if playback is None:
             self.counts["stray set-up"] += 1
             return
-        one = Try(playback, len(playback.tries), action.host, now)
+        one = Attempt(playback, len(playback.tries), action.host, now)
         playback.tries.append(one)
         self.counts["further tries" if one.place else "first tries"] += 1
         sendable = playback.state == "asked" and action.host in self._addresses
@@ -525,8 +430,8 @@
             return
         due = min(now + action.allow, playback.abandon) if action.allow > 0 else playback.abandon
         one.due = due
-        self._set(due, Alarm.TRY_DUE, one)
-        self._outside.open_try(one)
+        self._set(due, Alarm.ATTEMPT_DUE, one)
+        self._outside.open_attempt(one)
 
     def _set_rung(self, now: int, action: api.SetRung) -> None:
         playback = self.held.get(action.pb)
@@ -535,11 +440,11 @@
             return
         playback.rung = action.rung
         for one in playback.out:
-            if one.state == "flowing":
+            if one.established:
                 playback.timeline.step(now, action.rung)
                 self._change(one, action.rung)
 
-    def _change(self, one: Try, rung: int) -> None:
+    def _change(self, one: Attempt, rung: int) -> None:
         self.counts["rung changes"] += 1
         self._outside.change_rung(one, rung)
 
@@ -558,8 +463,8 @@
         playback = self.held.get(action.pb)
         if playback is not None and 0 <= action.attempt < len(playback.tries):
             one = playback.tries[action.attempt]
-            if one.state == "out":
-                self._outside.close_try(one)
+            if one.out:
+                self._outside.close_attempt(one)
                 self.ended(now, one, Ending.CALLED_OFF, api.Load())
 
     def _move(self, now: int, action: api.Move) -> None:
@@ -613,7 +518,7 @@
 
 RINGS: dict[Alarm, Callable[[Driver, int, Any], None]] = {
     Alarm.BELL: Driver._bell,
-    Alarm.TRY_DUE: Driver._try_due,
+    Alarm.ATTEMPT_DUE: Driver._attempt_due,
     Alarm.OVERDUE: Driver._overdue,
     Alarm.UNHEARD: Driver._unheard_of,
 }
--- a/burlmast/edge/hosts.py
+++ b/burlmast/edge/hosts.py
@@ -11,9 +11,9 @@
 
 from burlmast import api
 from burlmast.api import Ending, News
-from burlmast.edge.driver import Try
 from burlmast.edge.endings import ENDINGS, of_answer
 from burlmast.edge.loads import read_load
+from burlmast.edge.playback import Attempt
 from burlmast.edge.words import STREAM_LINE, SetUpWords, StreamLine
 from burlmast.http1.client import Address, Call, Failure, Pool
 from burlmast.http1.messages import Lines, Malformed, split_address
@@ -25,28 +25,28 @@
 class Ear(Protocol):
     """Where the hosts' side tells what it hears; each call is one of the driver's, with the time put in."""
 
-    def flowing(self, one: Try) -> None:
+    def flowing(self, one: Attempt) -> None:
         """See `Driver.flowing`."""
 
-    def ended(self, one: Try, ending: Ending, load: api.Load) -> None:
+    def ended(self, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
 
-    def noted(self, one: Try, news: News, value: float) -> None:
+    def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
 
-    def rung_stays(self, one: Try, rung: int) -> None:
+    def rung_stays(self, one: Attempt, rung: int) -> None:
         """See `Driver.rung_stays`."""
 
     def probed(self, host: int, ending: Ending, took: int, load: api.Load) -> None:
         """See `Driver.probed`."""
 
 
-class TryCall:
+class AttemptCall:
     """Hears one setup try."""
 
     __slots__ = ("_ear", "_lines", "_load", "_one", "_status", "body", "call", "closed")
 
-    def __init__(self, ear: Ear, one: Try) -> None:
+    def __init__(self, ear: Ear, one: Attempt) -> None:
         self._ear, self._one = ear, one
         self._status = 0
         self._load = api.Load()
@@ -157,7 +157,7 @@
         number: int,
         probe_s: float,
         later: Callable[[float, Callable[[], None]], Any],
-        by: Callable[[Try], tuple[str, int, int, int] | None] = lambda one: None,
+        by: Callable[[Attempt], tuple[str, int, int, int] | None] = lambda one: None,
     ) -> None:
         """`where` finds a host, `rate` the kB a second of a plan's rung, `later` calls after seconds, `by`
         says under what a try is sent."""
@@ -174,7 +174,7 @@
             found = self._known[name] = split_address(name)
         return found
 
-    def open_try(self, one: Try) -> None:
+    def open_attempt(self, one: Attempt) -> None:
         """Send a set-up."""
         playback = one.playback
         wanted = playback.wanted
@@ -189,18 +189,18 @@
             wanted.lasts / 1e9,
             self._by(one),
         )
-        hearing = TryCall(self._ear, one)
+        hearing = AttemptCall(self._ear, one)
         one.handle = hearing
         hearing.call = self._pool.call(
             self._address(one.host), b"POST", b"/v1/streams", hearing, JSON, ENCODER.encode(words)
         )
 
-    def close_try(self, one: Try) -> None:
+    def close_attempt(self, one: Attempt) -> None:
         """Close its connection."""
         if one.handle is not None:
             one.handle.close()
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         """Ask the host to deliver another rung; where it does not, the rung before stays in force."""
         before, one.rung = one.rung, rung
 
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -18,11 +18,12 @@
 from burlmast.edge.attendant import Attendant
 from burlmast.edge.changing import ChangingDriver
 from burlmast.edge.door import Door, ViewersGate
-from burlmast.edge.driver import Final, Playback, Policy, Try, Wanted
+from burlmast.edge.driver import Policy
 from burlmast.edge.hosts import HostsSide
 from burlmast.edge.limits import Doorkeeper
 from burlmast.edge.listing import ListSide
 from burlmast.edge.operators import Operators
+from burlmast.edge.playback import Attempt, Final, Playback, Wanted
 from burlmast.edge.redial import Redial
 from burlmast.edge.together import Alone, Together, Work
 from burlmast.hostbook.keeper import Keeper
@@ -257,7 +258,7 @@
     def _rate(self, plan: int, rung: int) -> float:
         return self.deployment.ladder.rates_kb[rung] * self.deployment.plans[plan].scale
 
-    def _under(self, one: Try) -> tuple[str, int, int, int] | None:
+    def _under(self, one: Attempt) -> tuple[str, int, int, int] | None:
         return self.together.set_up(one.playback.public, one.host, one.place)
 
     def work(self) -> Work:
@@ -297,17 +298,17 @@
 
     # The driver's outside.
 
-    def open_try(self, one: Try) -> None:
+    def open_attempt(self, one: Attempt) -> None:
         # Danger: it may have been held since before a stop of this process, or of its lease.
         if self.together.may_take():
-            self.hosts.open_try(one)
+            self.hosts.open_attempt(one)
         else:
             self.driver.ended(self.now(), one, api.Ending.MOOT, api.Load())
 
-    def close_try(self, one: Try) -> None:
-        self.hosts.close_try(one)
+    def close_attempt(self, one: Attempt) -> None:
+        self.hosts.close_attempt(one)
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         self.together.act("stepped")
         self.hosts.change_rung(one, rung)
 
@@ -355,7 +356,7 @@
 
     # The hosts' ear and the list's reader.
 
-    def rung_stays(self, one: Try, rung: int) -> None:
+    def rung_stays(self, one: Attempt, rung: int) -> None:
         self.driver.rung_stays(self.now(), one, rung)
         self.arm()
 
--- a/burlmast/fleet/plants.py
+++ b/burlmast/fleet/plants.py
@@ -79,18 +79,18 @@
         self.fails, self.after_s, self.over, self.late_s = fails, after_s, over, late_s
         around: Any = side._around
         self._own, self._change, self._hosts = side._start.own, around.change_settings, around.hosts
-        self._open, self._ear = around.hosts.open_try, around.hosts._ear
+        self._open, self._ear = around.hosts.open_attempt, around.hosts._ear
         self._since: float | None = None
         self._sent: list[float] = []
         self._count = 0
-        around.change_settings, around.hosts.open_try = self.change_settings, self.open_try
+        around.change_settings, around.hosts.open_attempt = self.change_settings, self.open_attempt
 
     def change_settings(self, deployment: Deployment) -> None:
         """As the program does."""
         self._since = None if deployment == self._own else time.monotonic()
         self._change(deployment)
 
-    def open_try(self, one: Any) -> None:
+    def open_attempt(self, one: Any) -> None:
         """As the hosts' side does, badly."""
         now = time.monotonic()
         self._sent = [at for at in self._sent if at > now - 1] + [now]
@@ -104,7 +104,7 @@
             self._open(one)
 
     def _late(self, one: Any) -> None:
-        if one.state == "out":
+        if one.out:
             self._open(one)
 
 
--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Protocol
 
-from burlmast.edge.driver import Try
+from burlmast.edge.playback import Attempt
 from burlmast.lease import HostLease, Link, LinkInput, SessionLease
 from burlmast.node.descriptors import SHORTAGE
 from burlmast.node.eventlog import EventLog, session_name
@@ -124,20 +124,27 @@
         "origin",
         "sent",
         "session",
-        "written",
-        "written_at",
     )
 
-    def __init__(self, driver_attempt: Try, host: Host, sent: SetupPayload) -> None:
+    def __init__(self, driver_attempt: Attempt, host: Host, sent: SetupPayload) -> None:
         self.driver_attempt, self.host, self.sent, self.session = driver_attempt, host, sent, sent.session
         self.connection: HostConnection | None = None  # the connection that carries it while it is out
         self.origin: HostConnection | None = None  # the connection of its set-up
-        self.written = self.established = False  # its set-up was written; it has been answered
+        self.established = False  # it has been answered, or was handed over
         self.description = ""
-        self.written_at = 0  # when its set-up was written; 0: it was not
         self.doubted_at = 0  # when a release came that may end the session before its answer; 0: none has
         self.lease = SessionLease(host.pool.now())
 
+    @property
+    def written(self) -> bool:
+        """Whether its set-up has been written."""
+        return self.driver_attempt.written
+
+    @property
+    def written_at(self) -> int:
+        """When its set-up was written; 0: it was not."""
+        return self.driver_attempt.written_at
+
     def establish(self, description: str) -> None:
         """The host has answered, on the connection of its set-up."""
         self.description, self.established = description, True
--- a/burlmast/node/host_interface.py
+++ b/burlmast/node/host_interface.py
@@ -6,7 +6,7 @@
 
 from burlmast import api
 from burlmast.api import Ending, News
-from burlmast.edge.driver import Try
+from burlmast.edge.playback import Attempt
 
 
 class SetupPayload(NamedTuple):
@@ -32,22 +32,22 @@
 class HostCallbacks(Protocol):
     """Where the hosts' side tells what it hears; each method is one of the driver's, the time put in."""
 
-    def flowing(self, one: Try) -> None:
+    def flowing(self, one: Attempt) -> None:
         """See `Driver.flowing`."""
 
-    def ended(self, one: Try, ending: Ending, load: api.Load) -> None:
+    def ended(self, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
 
-    def noted(self, one: Try, news: News, value: float) -> None:
+    def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
 
     def probed(self, host: int, ending: Ending, took: int, load: api.Load) -> None:
         """See `Driver.probed`."""
 
-    def wanted(self, one: Try) -> bool:
+    def wanted(self, one: Attempt) -> bool:
         """Whether its viewer is still there; False once the driver has been told that it is not."""
 
-    def unread(self, one: Try) -> bool:
+    def unread(self, one: Attempt) -> bool:
         """Whether its viewer has written what has not been read yet."""
 
     def list_unread(self) -> bool:
--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -87,7 +87,7 @@
         if attempt is None:
             self._remember_unknown(message)
             self._ignore_release(connection, message, "unknown_session")
-        elif attempt.driver_attempt.state == "flowing":
+        elif attempt.driver_attempt.established:
             self._session_released(attempt, connection, message)
         elif attempt.connection is connection:
             self._refused(attempt, connection, message)
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -8,8 +8,8 @@
 
 from burlmast import api
 from burlmast.api import Ending, Standing
-from burlmast.edge.driver import Try
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
+from burlmast.edge.playback import Attempt
 from burlmast.node import frames
 from burlmast.node.eventlog import EventLog
 from burlmast.node.host_connection import HostAttempt
@@ -122,14 +122,14 @@
         """A host has started again: what stood there before is over."""
         host = self.hosts.get(number)
         if host is not None:
-            for attempt in [each for each in host.attempts.values() if each.driver_attempt.sent_at < at]:
+            for attempt in [each for each in host.attempts.values() if each.driver_attempt.decided_at < at]:
                 # What was meant for the warm process may be too much for the cold one.
                 unsent = not attempt.written and not attempt.established
                 host.finish(
                     attempt, BINARY_ENDINGS["not sent", None] if unsent else BINARY_ENDS[41], api.Load()
                 )
 
-    def open_try(self, one: Try, sent: SetupPayload) -> None:
+    def open_attempt(self, one: Attempt, sent: SetupPayload) -> None:
         """Send a set-up."""
         host = self.hosts.get(one.host)
         if host is None or not host.in_service:
@@ -143,7 +143,7 @@
         number = self._numbers.find(name)
         return number if number in self.hosts else None
 
-    def hand_over(self, one: Try, sent: SetupPayload) -> None:
+    def hand_over(self, one: Attempt, sent: SetupPayload) -> None:
         """What an earlier life of this gateway set up."""
         host = self.hosts.get(one.host)
         if host is None:
@@ -154,12 +154,12 @@
         host.keep_reachable()
         host.messages.handed_over(attempt)
 
-    def close_try(self, one: Try) -> None:
+    def close_attempt(self, one: Attempt) -> None:
         """The driver has ended the try."""
         if isinstance(one.handle, HostAttempt):
             one.handle.host.give_up(one.handle)
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         """Tell the host."""
         attempt = one.handle
         if isinstance(attempt, HostAttempt):
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -9,6 +9,7 @@
 from burlmast import api, liveness
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
+from burlmast.edge.playback import AttemptState
 from burlmast.lease import HostLease
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
@@ -258,7 +259,7 @@
 
     def established(self) -> Iterator[HostAttempt]:
         """The attempts whose sessions stand here."""
-        return (each for each in self.attempts.values() if each.driver_attempt.state == "flowing")
+        return (each for each in self.attempts.values() if each.driver_attempt.established)
 
     def ended_by_host(self) -> None:
         """The host has closed a connection in order: it lives."""
@@ -337,8 +338,7 @@
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
             return
         message = self._set_up_message(attempt, now)
-        attempt.written, attempt.written_at = True, now
-        attempt.driver_attempt.written = True
+        one.state, one.written_at = AttemptState.WRITTEN, now
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -14,7 +14,8 @@
 from burlmast import api
 from burlmast.api import Scope, Standing
 from burlmast.edge.attendant import Attendant
-from burlmast.edge.driver import Driver, Final, Playback, Try
+from burlmast.edge.driver import Driver
+from burlmast.edge.playback import Attempt, Final, Playback
 from burlmast.logic import Gateway
 from burlmast.node.acceptor import Acceptor
 from burlmast.node.configuration import BadConfiguration, Configuration, from_variables, read
@@ -208,15 +209,15 @@
 
     # The driver's outside.
 
-    def open_try(self, one: Try) -> None:
+    def open_attempt(self, one: Attempt) -> None:
         viewing = one.playback.timeline
         if isinstance(viewing, SessionView):
-            self.hosts.open_try(one, viewing.sent)
+            self.hosts.open_attempt(one, viewing.sent)
 
-    def close_try(self, one: Try) -> None:
-        self.hosts.close_try(one)
+    def close_attempt(self, one: Attempt) -> None:
+        self.hosts.close_attempt(one)
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         self.hosts.change_rung(one, rung)
 
     def probe(self, host: int) -> None:
@@ -256,11 +257,11 @@
 
     # The callbacks of the hosts.
 
-    def wanted(self, one: Try) -> bool:
+    def wanted(self, one: Attempt) -> bool:
         """See `host_interface.HostCallbacks`."""
         return self.listener.wanted(one.playback)
 
-    def unread(self, one: Try) -> bool:
+    def unread(self, one: Attempt) -> bool:
         """See `host_interface.HostCallbacks`."""
         return self.listener.unread(one.playback)
 
--- a/burlmast/node/set_up.py
+++ b/burlmast/node/set_up.py
@@ -5,7 +5,7 @@
 from math import isfinite
 from typing import NamedTuple
 
-from burlmast.edge.driver import Wanted
+from burlmast.edge.playback import Wanted
 from burlmast.node.configuration import Configuration
 from burlmast.node.host_interface import SetupPayload
 from burlmast.node.lines import Line
--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Container
 from typing import Protocol
 
-from burlmast.edge.driver import Playback
+from burlmast.edge.playback import Playback
 from burlmast.node import lines
 from burlmast.node.lines import Line, LineReader
 from burlmast.node.message_size import MESSAGE_BYTES_MAX
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from burlmast.api import Ending
-from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
+from burlmast.edge.driver import Driver
+from burlmast.edge.playback import Attempt, Final, Playback, Wanted
 from burlmast.logic import NEVER_RAN
 from burlmast.node import lines
 from burlmast.node.configuration import Configuration
@@ -46,16 +47,16 @@
         self.answered_at = 0  # when its answer was written; 0: none was
 
     def begin(self, now: int, host: str, rung: int) -> None:
-        """See `driver.Shown`."""
+        """See `playback.Shown`."""
 
     def step(self, now: int, rung: int) -> None:
-        """See `driver.Shown`."""
+        """See `playback.Shown`."""
 
     def end(self, now: int) -> None:
-        """See `driver.Shown`."""
+        """See `playback.Shown`."""
 
 
-def _may_have_run(attempt: Try) -> bool:
+def _may_have_run(attempt: Attempt) -> bool:
     """Whether a host may have begun with it."""
     return attempt.written and attempt.ending not in NEVER_RAN
 
@@ -79,7 +80,7 @@
         self._gap_until = 0  # when the last gap between sweeps ended; 0: there was none
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
-        self.handed_over: Callable[[Try, SetupPayload], None] | None = None
+        self.handed_over: Callable[[Attempt, SetupPayload], None] | None = None
         # The number of a host that is listed, or on which something stands still, by its name.
         self.host_number: Callable[[str], int | None] | None = None
         self.viewers: dict[ViewerConnection, None] = {}  # in the order in which they came
@@ -424,7 +425,7 @@
         """Pass the host's description on; where it cannot be, the request fails and its session is released.
 
         It is not tried elsewhere: another host would likely describe the same session as long."""
-        attempt = next(each for each in reversed(playback.tries) if each.state == "flowing")
+        attempt = next(each for each in reversed(playback.tries) if each.established)
         name = playback.public
         try:
             message = lines.answer(name, attempt.handle.description)
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -15,10 +15,11 @@
 from burlmast.api import Ending, HostRow, Load, Scope, Standing
 from burlmast.edge.changing import ChangingDriver
 from burlmast.edge.clock import Clock
-from burlmast.edge.driver import Driver, Final, Playback, Try, Wanted
+from burlmast.edge.driver import Driver
 from burlmast.edge.endings import ENDINGS, of_answer
 from burlmast.edge.limits import Doorkeeper, Room
 from burlmast.edge.loads import read_load, write_load
+from burlmast.edge.playback import Attempt, Final, Playback, Wanted
 from burlmast.edge.redial import Redial
 from burlmast.logic import NEVER_RAN, Gateway
 from burlmast.settings.read import terms
@@ -35,21 +36,21 @@
     """Keeps what the driver asks for."""
 
     def __init__(self) -> None:
-        self.opened: list[Try] = []
-        self.closed: list[Try] = []
+        self.opened: list[Attempt] = []
+        self.closed: list[Attempt] = []
         self.answers: list[tuple[Playback, Final]] = []
         self.probes: list[int] = []
-        self.rungs: list[tuple[Try, int]] = []
+        self.rungs: list[tuple[Attempt, int]] = []
         self.over_with: list[Playback] = []
         self.faults: list[tuple[object, Exception]] = []
 
-    def open_try(self, one: Try) -> None:
+    def open_attempt(self, one: Attempt) -> None:
         self.opened.append(one)
 
-    def close_try(self, one: Try) -> None:
+    def close_attempt(self, one: Attempt) -> None:
         self.closed.append(one)
 
-    def change_rung(self, one: Try, rung: int) -> None:
+    def change_rung(self, one: Attempt, rung: int) -> None:
         self.rungs.append((one, rung))
 
     def probe(self, host: int) -> None:
