A start that the list tells late no longer ends what the new process already has

Seen by callers: a host was lost and returned while a set-up waited for its connection; the playback was set up at two hosts and stood at both. Cause: the start was compared with the time of the decision, not with the connection that carried the set-up. A connection that came up after the start belongs to the new process, so its attempts and sessions go on; what went out before is released first and then ended, which is right for either process. What was not written is decided anew once the decisions know of the start, no longer before.

--- a/burlmast/node/host_connection.py
+++ b/burlmast/node/host_connection.py
@@ -145,6 +145,15 @@
         """When its set-up was written; 0: it was not."""
         return self.driver_attempt.written_at
 
+    def reached_before(self, started_at: int) -> bool:
+        """Whether its set-up may have gone to a process that its host ran before this start.
+
+        A connection that came up after the start belongs to the new process, whenever the set-up was decided;
+        one from before it may be a box's, which passes the set-up on to the new process."""
+        if self.origin is not None:
+            return self.origin.opened_at < started_at
+        return self.written_at < started_at  # handed over: it stood by then
+
     def establish(self, description: str) -> None:
         """The host has answered, on the connection of its set-up."""
         self.description, self.established = description, True
@@ -170,6 +179,7 @@
         self.stuck_since = 0  # since when half a message is waited for
         self.partial_since = 0  # when the first bytes of a message that is not whole yet came; 0: none has
         self.dialled_at = self.received_at = host.pool.now()
+        self.opened_at = 0  # when it came up; 0: it has not
         self.heard_at = 0  # when its host last wrote on it; 0: never. That it came up proves nothing
         self.link: Link | None = None  # once it has come up
         self.suspect_since = 0  # since when something is unanswered on it; 0: nothing is
@@ -252,7 +262,7 @@
         self.transport = transport
         if self.state == "connecting":
             self.state = "open"
-            self.used = self.received_at = self.host.pool.now()
+            self.used = self.received_at = self.opened_at = self.host.pool.now()
             self.link = self.host.lease.opened(self.used)
             if self.timer is not None:
                 self.timer.cancel()
--- a/burlmast/node/host_pool.py
+++ b/burlmast/node/host_pool.py
@@ -45,6 +45,7 @@
         self._sessions = 0
         self._closed = False
         self._turning: list[MediaHost] = []
+        self._restarted: list[MediaHost] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._watch()
 
@@ -109,7 +110,11 @@
                 self._turning.append(host)
 
     def drain(self) -> None:
-        """Once the decisions have heard of the list: nothing new to hosts that drain or are gone."""
+        """Once the decisions have heard of the list: nothing new to hosts that drain or are gone, and nothing
+        to a cold process that was meant for the warm one."""
+        restarted, self._restarted = self._restarted, []
+        for host in restarted:
+            host.return_unwritten()
         turning, self._turning = self._turning, []
         for host in turning:
             host.drain()
@@ -119,15 +124,12 @@
                 del self.hosts[number]
 
     def restarted(self, number: int, at: int) -> None:
-        """A host has started again: what stood there before is over."""
+        """A host has started again: what its earlier process had is over. `drain` follows once the decisions
+        know."""
         host = self.hosts.get(number)
         if host is not None:
-            for attempt in [each for each in host.attempts.values() if each.driver_attempt.decided_at < at]:
-                # What was meant for the warm process may be too much for the cold one.
-                unsent = not attempt.written and not attempt.established
-                host.finish(
-                    attempt, BINARY_ENDINGS["not sent", None] if unsent else BINARY_ENDS[41], api.Load()
-                )
+            self._restarted.append(host)
+            host.restarted(at)
 
     def open_attempt(self, one: Attempt, sent: SetupPayload) -> None:
         """Send a set-up."""
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -158,8 +158,7 @@
 
     def drain(self) -> None:
         """Nothing new may go to it: what was not sent goes elsewhere, and probes of one that is gone end."""
-        for attempt in [each for each in self.attempts.values() if not (each.written or each.established)]:
-            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+        self.return_unwritten()
         if self.in_service:
             return
         probes, self.probes = self.probes, []
@@ -172,6 +171,37 @@
             self.finish(attempt, Ending.BROKEN, api.Load())
         self.keep_reachable()
 
+    def return_unwritten(self) -> None:
+        """What has been decided for this host and not written is decided anew."""
+        for attempt in [each for each in self.attempts.values() if not (each.written or each.established)]:
+            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+
+    def restarted(self, started_at: int) -> None:
+        """The host has started again: what went to its earlier process is over.
+
+        It is released first, since the new process may have got it and the request may be sent elsewhere."""
+        written = [each for each in self.attempts.values() if each.written]
+        over = [attempt for attempt in written if attempt.reached_before(started_at)]
+        self.pool.events.record(
+            "host_restarted",
+            host=self.name,
+            started_ms_ago=(self.pool.now() - started_at) // MS,
+            ended=len(over),
+            kept=len(written) - len(over),
+            unwritten=len(self.attempts) - len(written),
+        )
+        for attempt in over:
+            self._release_at_origin(attempt)
+            self.finish(attempt, BINARY_ENDS[41], api.Load())
+
+    def _release_at_origin(self, attempt: HostAttempt) -> None:
+        """Release it behind its own set-up; what is out on no connection is released by `lost`."""
+        origin, message = attempt.origin, frames.release(attempt.session)
+        if origin is not None and origin.usable:
+            origin.send_on_session(message, RELEASE_REPEATED, gives_up=attempt.session)
+        elif attempt.established:
+            self.checks.release_sent(message, self.send_on_session(message, RELEASE_REPEATED))
+
     def remove(self, why: str) -> None:
         """The list has dropped it, or has it elsewhere: nothing is waited for at this address any more."""
         self.in_service = False
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -145,6 +145,7 @@
         self.spoil: Callable[[bytes], bytes | None] = lambda raw: raw
         self.asked = 0
         self.started = 0.0  # of every host, a Unix millisecond
+        self.starts: dict[str, float] = {}  # of hosts by name, where they have started at times of their own
         self.cells: dict[str, int] = {}  # of hosts by name; of the others by their place
         # How many seconds after its query the n-th answer is sent, as it was made then; None: never.
         self.delay: Callable[[int], float | None] = lambda number: 0.0
@@ -154,7 +155,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         self.asked += 1
-        raw = self.spoil(reply(data, self.serial, self.rows, self.started, self.cells))
+        raw = self.spoil(reply(data, self.serial, self.rows, self.started, self.cells, self.starts))
         seconds = self.delay(self.asked)
         if raw is None or seconds is None:
             return
@@ -179,6 +180,7 @@
     rows: dict[str, tuple[int, int]],
     started: float = 0.0,
     cells: dict[str, int] | None = None,
+    starts: dict[str, float] | None = None,
 ) -> bytes:
     """What a name server says to a question."""
     told = dns.message.make_response(dns.message.from_wire(question))
@@ -189,7 +191,7 @@
         )
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "A", "127.0.0.1"))
         cell = (cells or {}).get(name, place % 4)
-        texts = f'"kind=std" "cell={cell}" "started={started:.3f}"'
+        texts = f'"kind=std" "cell={cell}" "started={(starts or {}).get(name, started):.3f}"'
         told.additional.append(dns.rrset.from_text(target, 0, "IN", "TXT", texts))
     soa = f"ns.fleet.local. root.fleet.local. {serial} 1 1 1 1"
     told.authority.append(dns.rrset.from_text("fleet.local.", 0, "IN", "SOA", soa))
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -621,6 +621,7 @@
         at = known(one, host)
         (call,) = at.attempts.values()
         one.program.hosts.restarted(at.number, one.program.now() + 1)
+        one.program.hosts.drain()  # what was not written is decided anew once the decisions know
         assert call.driver_attempt.ending is not None and call.driver_attempt.ending.value == "moot"
 
     run(work, tmp_path, 1, settings=PATIENT)
--- /dev/null
+++ b/tests/test_node_late_connections.py
@@ -0,0 +1,176 @@
+"""What a set-up meets between its decision and its write, while it waits for a connection that comes up late.
+
+The dial is held by a gate, so that each event comes in the order that the test wants; no sleep decides one.
+"""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_standin import (
+    ID,
+    SETTINGS,
+    Gate,
+    Host,
+    Line,
+    Platform,
+    answer,
+    run,
+    set_ups,
+    until,
+)  # fmt: skip
+
+from burlmast.node import frames
+from burlmast.node.media_host import MediaHost
+
+SESSION = int(ID, 16)
+# Time enough for every order, and a first attempt that is not given up before its connection comes up.
+PLAN = {**SETTINGS["requestClasses"][0], "goalTimeMs": 30_000.0, "hardLimitMs": 3000.0}
+PATIENT = {
+    **SETTINGS,
+    "allowed": {**SETTINGS["allowed"], "connectTimeoutMs": 3000.0},
+    "requestClasses": [PLAN],
+}
+
+
+def known(one: Platform, host: Host) -> MediaHost:
+    """What the gateway holds of this host."""
+    return next(each for each in one.program.hosts.hosts.values() if each.name == host.name)
+
+
+def tell_start(one: Platform, host: Host, at: float) -> None:
+    """The name server tells from now on that the host has started at this Unix time."""
+    one.names.starts[host.name] = at * 1000
+    one.names.serial += 1
+
+
+async def told_start(one: Platform, host: Host, at: float) -> None:
+    """The same, and the gateway knows it."""
+    tell_start(one, host, at)
+    await until(lambda: one.program.roster.serial == one.names.serial)
+
+
+async def waiting_at(one: Platform, line: Line, gates: list[Gate]) -> tuple[Host, Host, Gate]:
+    """Ask once; the host that is dialled, the other one, and the gate that holds the dial."""
+    line.set_up(left="2900")
+    await until(lambda: any(gate.held for gate in gates))
+    (held,) = [gate for gate in gates if gate.held]
+    first = next(host for host in one.hosts if host.port == held.port)
+    return first, next(host for host in one.hosts if host is not first), held
+
+
+def gated(one: Platform) -> list[Gate]:
+    """A gate before each host."""
+    return [Gate(host.port) for host in one.hosts]
+
+
+def silent(_: Any) -> bytes:
+    """A host that works on what it gets."""
+    return b""
+
+
+# A host that starts again.
+
+
+def test_a_set_up_written_to_a_process_that_started_meanwhile_is_not_sent_elsewhere_too(
+    tmp_path: Path,
+) -> None:
+    """Guards against two attempts out, with a start that is told after the set-up was written (review/6)."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        first, other, _ = await waiting_at(one, line, gates)
+        first.does = silent
+        started = time.time()
+        for gate in gates:
+            gate.open.set()
+        await until(lambda: first.of(frames.SETUP))
+        await told_start(one, first, started)
+        writer = first.links[0]
+        writer.write(answer(first.of(frames.SETUP)[0]))  # the new process has it, and answers
+        assert (await line.hear())["type"] == "answer"
+        assert not other.of(frames.SETUP) and len(set_ups(one)) == 1
+        line.say("release", cause=16)
+        await until(lambda: first.of(frames.RELEASE)), "the one session is released where it stands"
+
+    run(work, tmp_path, 2, settings=PATIENT)
+
+
+def test_a_session_set_up_at_the_new_process_stands_though_its_start_is_told_later(tmp_path: Path) -> None:
+    """Guards against a viewer that is told of an end, while its session plays on at the new process."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        first, _, _ = await waiting_at(one, line, gates)
+        started = time.time()
+        for gate in gates:
+            gate.open.set()
+        assert (await line.hear())["type"] == "answer"
+        await told_start(one, first, started)
+        line.say("ping", "00")
+        assert (await line.hear())["type"] == "pong", "no end was told"
+        assert ID in one.program.listener.known and not first.of(frames.RELEASE)
+
+    run(work, tmp_path, 2, settings=PATIENT)
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_what_went_to_a_process_before_its_host_started_again_is_given_up_there_first(
+    tmp_path: Path, answered: bool
+) -> None:
+    """Guards against an attempt that nobody gives up where the new process may have it, as behind a box that
+    took the connection before the start and passes the set-up on after it."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        for gate in gates:
+            gate.open.set()
+        line.set_up(left="2900") if answered else None
+        if answered:
+            assert (await line.hear())["type"] == "answer"
+            first = one.host_of()
+        else:
+            for host in one.hosts:
+                host.does = silent
+            line.set_up(left="2900")
+            await until(lambda: set_ups(one))
+            first = one.host_of()
+        other = next(host for host in one.hosts if host is not first)
+        other.does = answer
+        connection = first.links[0]
+        tell_start(one, first, time.time() + 0.001)
+        if answered:
+            assert (await line.hear())["type"] == "release", "its session went with the process"
+        else:
+            assert (await line.hear())["type"] == "answer"
+            assert len(set_ups(one)) == 2 and other.of(frames.SETUP)
+        await until(lambda: first.of(frames.RELEASE))
+        assert connection in first.links and len(first.of(frames.RELEASE)) == 1
+
+    run(work, tmp_path, 2, settings=PATIENT)
+
+
+def test_what_waits_for_a_host_that_starts_again_is_decided_anew_by_what_is_told(tmp_path: Path) -> None:
+    """Guards against a set-up that was meant for the warm process and goes to the cold one, or nowhere."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        began = one.program.now()
+        await until(lambda: one.program.now() - began >= 1_500_000_000)  # until both count as warm
+        first, other, held = await waiting_at(one, line, gates)
+        (other_gate,) = [gate for gate in gates if gate is not held]
+        other_gate.open.set()
+        tell_start(one, first, time.time())
+        assert (await line.hear())["type"] == "answer", "while the first connection is still awaited"
+        assert other.of(frames.SETUP) and not first.of(frames.SETUP)
+        held.open.set()
+        await until(lambda: not known(one, first).connecting)
+        line.say("ping", "00")
+        await line.hear()
+        assert not first.of(frames.SETUP)
+
+    rules = {**SETTINGS["rules"], "warmAfterMs": 1500.0, "coldFrom": 0.0001}  # the pace lets nothing through
+    run(work, tmp_path, 2, settings={**PATIENT, "rules": rules})
