A set-up is judged again in the moment of its write, by what is true then

Seen by callers: a keyed playback ran again 2.5 s after its first attempt; its key is kept for 2 s. Cause: a decision and its bytes are up to a connect timeout or a standstill apart, and every account was kept at the decision. Gateway.authorize judges keys, drains, seats and pace at the write and moves the accounts there; what is refused is api.Unsent, costs nothing and is decided anew at once. An attempt whose time ends before its write has not run. Decisions that are written at once, as the simulator's, are as before.

The stand-in of test_edge_core marks what it opens as written, as both fronts do; a test of what is not is new.

--- a/burlmast/api.py
+++ b/burlmast/api.py
@@ -222,6 +222,14 @@
     load: Load
 
 
+class Unsent(NamedTuple):
+    """Nothing of a setup try has been written, since it was no longer allowed: it counts as never decided."""
+
+    pb: int
+    attempt: int
+    host: int
+
+
 class Note(NamedTuple):
     """News on a playback that plays."""
 
@@ -260,7 +268,9 @@
     data: bytes
 
 
-Event = Listed | Arrived | HandedOver | Flowing | Ended | Note | ViewerLeft | Bell | Probed | FromPeer
+Event = (
+    Listed | Arrived | HandedOver | Flowing | Ended | Unsent | Note | ViewerLeft | Bell | Probed | FromPeer
+)
 
 
 # Actions.
--- a/burlmast/edge/attendant.py
+++ b/burlmast/edge/attendant.py
@@ -69,6 +69,15 @@
         self.driver.ended(self.now(), one, ending, load)
         self.arm()
 
+    def may_write(self, one: Attempt) -> bool:
+        """See `Driver.may_write`."""
+        return self.driver.may_write(self.now(), one)
+
+    def unsent(self, one: Attempt) -> None:
+        """See `Driver.unsent`."""
+        self.driver.unsent(self.now(), one)
+        self.arm()
+
     def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
         self.driver.noted(self.now(), one, news, value)
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 from heapq import heappop, heappush
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from burlmast import api
 from burlmast.api import Ending
@@ -29,6 +29,14 @@
         """The actions that an event asks for, in their order."""
 
 
+@runtime_checkable
+class JudgesWrites(Protocol):
+    """A policy that is asked again just before a set-up is written; others stand by their decision."""
+
+    def authorize(self, now: int, pb: int, attempt: int) -> bool:
+        """Whether a decided attempt may be written now; if so it counts as sent now."""
+
+
 class Outside(Protocol):
     """The sockets' side."""
 
@@ -141,8 +149,10 @@
 
     def _attempt_due(self, now: int, one: Attempt) -> None:
         if one.out:
+            # Before its write it has waited for its connection alone: nothing ran.
+            ending = Ending.TIMEOUT if one.written else Ending.NO_CONNECTION
             self._outside.close_attempt(one)
-            self.ended(now, one, Ending.TIMEOUT, api.Load())
+            self.ended(now, one, ending, api.Load())
 
     def _overdue(self, now: int, playback: Playback) -> None:
         self._step(now, playback, "overdue")
@@ -221,6 +231,8 @@
         for playback in self.held.values():
             if playback.state == "asked" and playback.abandon > due:
                 playback.abandon = due
+                for attempt in playback.out:
+                    attempt.due = min(attempt.due, due)
                 self._set(max(now, due), Alarm.OVERDUE, playback)
 
     def find(self, now: int, public: str) -> Playback | None:
@@ -258,6 +270,38 @@
         self._hand(now, api.Ended(playback.number, one.place, one.host, ending, took, final, load))
         self._tidy(playback)
 
+    def mark_written(self, now: int, one: Attempt) -> None:
+        """Its set-up is written, or handed to what writes it without asking."""
+        if one.state is AttemptState.DECIDED:
+            one.state, one.written_at = AttemptState.WRITTEN, now
+
+    def may_write(self, now: int, one: Attempt) -> bool:
+        """Ask just before the write of a set-up whether it is still allowed; it counts as written if so.
+
+        Where it is not, `unsent` has to follow."""
+        playback = one.playback
+        if one.state is not AttemptState.DECIDED or playback.state != "asked" or self.failed:
+            return False
+        policy = self.policy
+        if isinstance(policy, JudgesWrites) and not policy.authorize(now, playback.number, one.place):
+            self.counts["writes refused"] += 1
+            return False
+        self.mark_written(now, one)
+        return True
+
+    def unsent(self, now: int, one: Attempt) -> None:
+        """Nothing of an attempt has been written, and nothing may be: it counts as never decided."""
+        playback = one.playback
+        if one.state is not AttemptState.DECIDED:
+            return
+        if playback.state != "asked" or playback.tries[-1] is not one:
+            self.ended(now, one, Ending.MOOT, api.Load())
+            return
+        one.state, one.ending = AttemptState.ENDED, Ending.MOOT
+        playback.tries.pop()
+        self.counts["unsent"] += 1
+        self._hand(now, api.Unsent(playback.number, one.place, one.host))
+
     def noted(self, now: int, one: Attempt, news: api.News, value: float) -> None:
         """The host tells of a stream's delivery, link or uplink."""
         if one.state is not AttemptState.ENDED:
--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -44,6 +44,12 @@
 FALLING = STRIKING - {Ending.ERROR}  # the host may come back as a new process
 
 
+def take_out(times: deque[int], at: int) -> None:
+    """Remove one entry of this time, if there is one."""
+    if at in times:
+        times.remove(at)
+
+
 class Pipe:
     """A link or an uplink: its told size, what it was last said to carry, and this gateway's part in that."""
 
@@ -135,7 +141,9 @@
         self.host: Host | None = None
         self.tries: list[Host] = []
         self.maybe_ran: list[tuple[int, Host]] = []  # tries that may have run: when sent, where
+        # When the last try was decided; once it is written, when that was.
         self.sent_at, self.asked = 0, False  # asked: a host was, before the first try
+        self.risen_then = 0  # when its host may have started, as it was known when its last try was decided
         self.rooms: deque[float] = deque(maxlen=WINDOW)
         self.ladder = ladder
 
@@ -294,6 +302,18 @@
             self.step(now, host, "bad")
         self.step(now, pb, "over" if event.final else "failed")
 
+    def unsent(self, now: int, event: api.Unsent) -> None:
+        """What was decided is taken back, and decided anew by what is true now."""
+        pb = self.playbacks.get(event.pb)
+        if pb is None or pb.host is None or event.attempt != len(pb.tries) - 1:
+            return
+        take_out(pb.host.sent, pb.sent_at)
+        if len(pb.tries) > 1:
+            take_out(self.further, pb.sent_at)
+        pb.tries.pop()
+        self.unsettle(now, pb)
+        self.step(now, pb, "failed")
+
     def noted(self, now: int, event: api.Note) -> None:
         pb, host = self.playbacks.get(event.pb), self.hosts.get(event.host)
         if pb is None or host is None or pb.host is not host or not isfinite(event.value) or event.value < 0:
@@ -431,13 +451,14 @@
         wait = self.terms.allowed.connect + 5 * self.terms.beat
         return rules.fall_span + wait, rules.fall_multiple * capacity * rules.fall_span
 
-    def pace_allows(self, now: int, host: Host) -> bool:
-        """Mechanism 3."""
+    def pace_allows(self, now: int, host: Host, booked: int = LATER) -> bool:
+        """Mechanism 3. `booked` is when the try itself was, if it was."""
         risen = min(host.risen, host.proven) if host.presumed else host.risen
         if not host.fell and now - risen >= self.terms.rules.warm_after:
             return True
         span, budget = self.pace(host)
         lately = sum(1 for at in host.sent if now - at < span)
+        lately -= booked in host.sent and now - booked < span
         if host.presumed and host.settled and not host.fell and not lately and self.few(now, host):
             return True
         share, rest = divmod(int(budget), self.terms.gateways) if budget >= 1 else (0, 0)
@@ -469,9 +490,14 @@
             dear = plan.revenue >= max(one.revenue for one in self.terms.plans)
             if left < 1 or (left < 2 and not dear and rules.further_free >= 2):
                 return False
+        return self.seat_free(pb)
+
+    def seat_free(self, pb: Playback) -> bool:
+        """Whether the playback may be one more of its title and plan."""
+        plan = pb.plan
         if plan.seats <= 0:  # most plans have none, and a gateway may hold thousands of playbacks
             return True
-        alike = [one for one in self.playbacks.values() if one.plan is plan and one.host]
+        alike = [one for one in self.playbacks.values() if one.plan is plan and one.host and one is not pb]
         return sum(1 for one in alike if one.title == pb.title) < plan.seats
 
     def forget(self, now: int) -> None:
@@ -559,10 +585,45 @@
         if pb.tries and self.terms.rules.further_free is not None:
             self.further.append(now)
         pb.tries.append(host)
-        pb.sent_at = now
+        pb.sent_at, pb.risen_then = now, host.risen
         host.sent.append(now)
         self.out.append(api.SetUp(pb.id, host.id, self.allowance(now, pb)))
 
+    # Writing what was decided.
+
+    def authorize(self, now: int, pb: int, attempt: int) -> bool:
+        """Whether a setup try may be written now, by what is true now; if so it counts as sent now.
+
+        A decision and its write are up to a connect timeout, or a standstill of this process, apart. If the
+        try is refused, `api.Unsent` has to follow. Who writes at once, as the simulator, need not ask."""
+        playback = self.playbacks.get(pb)
+        if playback is None or playback.state != "trying" or attempt != len(playback.tries) - 1:
+            return False
+        host = playback.tries[-1]
+        allowed = (
+            self.may_send(now, playback, host)
+            and self.seat_free(playback)
+            and self.pace_holds(now, playback, host)
+        )
+        if allowed:
+            self.book_write(now, playback, host)
+        return allowed
+
+    def pace_holds(self, now: int, pb: Playback, host: Host) -> bool:
+        """The pace's span allows for the usual wait; beyond it, or once the host has started again, the pace
+        is asked again. What is on its way as a host fails serves to tell whether it is well."""
+        waited = now - pb.sent_at
+        usual = self.terms.allowed.connect + 4 * self.terms.beat
+        if waited <= usual and pb.risen_then == host.risen:
+            return True
+        return self.pace_allows(now, host, booked=pb.sent_at)
+
+    def book_write(self, now: int, pb: Playback, host: Host) -> None:
+        """The accounts of what was sent hold the time of the write."""
+        take_out(host.sent, pb.sent_at)
+        host.sent.append(now)
+        pb.sent_at = now
+
     def stale(self, now: int, host: Host) -> bool:
         """Mechanism 6."""
         able = self.terms.allowed.probes and self.terms.lineup.tells and not host.probing
@@ -707,6 +768,7 @@
     api.HandedOver: Gateway.handed_over,
     api.Flowing: Gateway.flowing,
     api.Ended: Gateway.ended,
+    api.Unsent: Gateway.unsent,
     api.Note: Gateway.noted,
     api.ViewerLeft: Gateway.left,
     api.Bell: Gateway.rung_bell,
--- a/burlmast/node/host_interface.py
+++ b/burlmast/node/host_interface.py
@@ -38,6 +38,12 @@
     def ended(self, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
 
+    def may_write(self, one: Attempt) -> bool:
+        """See `Driver.may_write`."""
+
+    def unsent(self, one: Attempt) -> None:
+        """See `Driver.unsent`."""
+
     def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
 
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -9,7 +9,6 @@
 from burlmast import api, liveness
 from burlmast.api import Ending
 from burlmast.edge.endings import BINARY_ENDINGS, BINARY_ENDS
-from burlmast.edge.playback import AttemptState
 from burlmast.lease import HostLease
 from burlmast.node import frames
 from burlmast.node.eventlog import session_name
@@ -174,7 +173,21 @@
     def return_unwritten(self) -> None:
         """What has been decided for this host and not written is decided anew."""
         for attempt in [each for each in self.attempts.values() if not (each.written or each.established)]:
-            self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
+            self._return(attempt, "host_changed")
+
+    def _return(self, attempt: HostAttempt, reason: str) -> None:
+        """Nothing of it has been written: it is decided anew."""
+        if self.attempts.get(attempt.session) is attempt:
+            self.pool.events.record(
+                "attempt_unsent",
+                session=session_name(attempt.session),
+                attempt=attempt.driver_attempt.place,
+                host=self.name,
+                reason=reason,
+                waited_ms=(self.pool.now() - attempt.driver_attempt.decided_at) // MS,
+            )
+            self.forget(attempt)
+            self.pool.callbacks.unsent(attempt.driver_attempt)
 
     def restarted(self, started_at: int) -> None:
         """The host has started again: what went to its earlier process is over.
@@ -344,7 +357,6 @@
         """Send it there, once what its viewer and the name server have written by now has been read."""
         attempt.connection = attempt.origin = connection
         connection.out[attempt.session] = attempt
-        connection.carried.add(attempt.driver_attempt.playback.number)
         if self.pool.callbacks.unread(attempt.driver_attempt):
             self.pool.after_reading(lambda: self._write_when_list_is_read(connection, attempt, LIST_READINGS))
         else:
@@ -368,7 +380,10 @@
             self.finish(attempt, BINARY_ENDINGS["not sent", None], api.Load())
             return
         message = self._set_up_message(attempt, now)
-        one.state, one.written_at = AttemptState.WRITTEN, now
+        if not self.pool.callbacks.may_write(one):
+            self._return(attempt, "no_longer_allowed")
+            return
+        connection.carried.add(one.playback.number)
         self.pool.events.trace(
             "attempt_sent",
             session_name(attempt.session),
--- a/tests/test_edge_core.py
+++ b/tests/test_edge_core.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.opened: list[Attempt] = []
+        self.writes = True  # what is opened is written at once
         self.closed: list[Attempt] = []
         self.answers: list[tuple[Playback, Final]] = []
         self.probes: list[int] = []
@@ -46,6 +47,8 @@
 
     def open_attempt(self, one: Attempt) -> None:
         self.opened.append(one)
+        if self.writes:
+            self.driver.mark_written(one.decided_at, one)
 
     def close_attempt(self, one: Attempt) -> None:
         self.closed.append(one)
--- a/tests/test_node_late_connections.py
+++ b/tests/test_node_late_connections.py
@@ -11,6 +11,7 @@
 
 import pytest
 from platform_standin import (
+    EXTRAS,
     ID,
     SETTINGS,
     Gate,
@@ -18,6 +19,7 @@
     Line,
     Platform,
     answer,
+    release,
     run,
     set_ups,
     until,
@@ -157,9 +159,9 @@
     """Guards against a set-up that was meant for the warm process and goes to the cold one, or nowhere."""
 
     async def work(one: Platform) -> None:
-        line, gates = await one.line(), gated(one)
-        began = one.program.now()
+        gates, began = gated(one), one.program.now()
         await until(lambda: one.program.now() - began >= 1_500_000_000)  # until both count as warm
+        line = await one.line()
         first, other, held = await waiting_at(one, line, gates)
         (other_gate,) = [gate for gate in gates if gate is not held]
         other_gate.open.set()
@@ -174,3 +176,49 @@
 
     rules = {**SETTINGS["rules"], "warmAfterMs": 1500.0, "coldFrom": 0.0001}  # the pace lets nothing through
     run(work, tmp_path, 2, settings={**PATIENT, "rules": rules})
+
+
+# Time limits that pass while a connection is awaited.
+
+
+def test_a_keyed_set_up_whose_time_passes_while_it_waits_is_refused_at_once_and_not_sent(
+    tmp_path: Path,
+) -> None:
+    """Guards against a second run under a key that its group of hosts has forgotten (review/7)."""
+    span = 0.6  # seconds for which a key is remembered
+    plan = {**PLAN, "semantics": "by_key", "group": "all", "memorySpanMs": span * 1000}
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        first, other, held = await waiting_at(one, line, gates)
+        (other_gate,) = [gate for gate in gates if gate is not held]
+        first.does = lambda message: release(message.session, 47)  # it may have run
+        held.open.set()
+        await until(lambda: other_gate.held)  # the second attempt is decided in time, and waits
+        since = time.monotonic()
+        await until(lambda: time.monotonic() - since > span)
+        other_gate.open.set()
+        told = await line.hear()
+        assert (told["type"], told["cause"]) == ("release", 34), "refused: no longer than its time it may run"
+        assert not other.of(frames.SETUP) and len(set_ups(one)) == 1
+        assert one.program.driver.counts["writes refused"] == 1
+        assert not one.program.driver.held and not one.program.listener.known
+
+    run(work, tmp_path, 2, settings={**PATIENT, "requestClasses": [plan]})
+
+
+def test_a_seat_that_is_handed_over_while_a_set_up_waits_is_not_taken_twice(tmp_path: Path) -> None:
+    """Guards against a title that is set up beyond its seats, each of which was free when it was decided."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        _, _, held = await waiting_at(one, line, gates)
+        line.set_up("00000000000000aa", extras=f"{EXTRAS};at:{one.hosts[0].name}")
+        await until(lambda: "00000000000000aa" in one.program.listener.known)
+        for gate in gates:
+            gate.open.set()
+        assert (await line.hear())["type"] == "release"
+        assert held and not set_ups(one)
+
+    family = {**SETTINGS["familyInfo"], "classSeats": [1]}
+    run(work, tmp_path, 2, settings={**PATIENT, "familyInfo": family})
