Further attempts count in their budget from their write; the budget is a module of its own

Seen by callers: 5 further attempts came to media hosts within 5 s, 3.3 are allowed. AttemptBudget books at the decision, so that others leave room, and is asked again at the write, where the booking moves; what is not written gives it back.

Two of the three new cases in test_rules_at_write.py failed before.

--- a/burlmast/logic.py
+++ b/burlmast/logic.py
@@ -27,6 +27,7 @@
 
 from burlmast import api
 from burlmast.api import Ending, News, Repeat, Scope, Standing
+from burlmast.attempt_budget import AttemptBudget, remove_one
 
 SECOND = 1_000_000_000
 TICK = SECOND * 3 // 2  # the design's tick, open
@@ -44,12 +45,6 @@
 FALLING = STRIKING - {Ending.ERROR}  # the host may come back as a new process
 
 
-def take_out(times: deque[int], at: int) -> None:
-    """Remove one entry of this time, if there is one."""
-    if at in times:
-        times.remove(at)
-
-
 class Pipe:
     """A link or an uplink: its told size, what it was last said to carry, and this gateway's part in that."""
 
@@ -174,8 +169,7 @@
         )
         self.playbacks: dict[int, Playback] = {}
         self.took: deque[int] = deque(maxlen=WINDOW)
-        self.requests: deque[int] = deque()
-        self.further: deque[int] = deque()
+        self.budget = AttemptBudget(terms.rules, terms.beat)
         self.out: list[api.Action] = []
 
     def chance(self) -> float:
@@ -255,9 +249,7 @@
         # Between all others' requests for a title going to one of its holders, and each to one of its own.
         self.arrivals.append((now, len(self.holders(request)) ** 0.5 / max(1, len(self.hosts))))
         self.usual = None
-        if self.terms.rules.further_free is not None:
-            self.forget(now)
-            self.requests.append(now)
+        self.budget.take_request(now)
         self.out.append(api.SetAlarm(max(0, request.patience - 3 * self.terms.beat), PB_TOKEN + pb.id))
         self.step(now, pb, "again")
 
@@ -307,9 +299,9 @@
         pb = self.playbacks.get(event.pb)
         if pb is None or pb.host is None or event.attempt != len(pb.tries) - 1:
             return
-        take_out(pb.host.sent, pb.sent_at)
+        remove_one(pb.host.sent, pb.sent_at)
         if len(pb.tries) > 1:
-            take_out(self.further, pb.sent_at)
+            self.budget.take_back(pb.sent_at)
         pb.tries.pop()
         self.unsettle(now, pb)
         self.step(now, pb, "failed")
@@ -484,9 +476,8 @@
         if len(pb.tries) >= self.terms.allowed.tries or now >= pb.abandon - self.terms.beat:
             return False
         if pb.tries and rules.further_free is not None:
-            self.forget(now)
-            left = rules.further_free + rules.further_ratio * len(self.requests) - len(self.further)
-            # Danger: what is spent on a cheap playback lacks for a dear one a moment later.
+            left = self.budget.left(now)
+            # What is spent on a cheap playback lacks for a dear one a moment later.
             dear = plan.revenue >= max(one.revenue for one in self.terms.plans)
             if left < 1 or (left < 2 and not dear and rules.further_free >= 2):
                 return False
@@ -500,14 +491,6 @@
         alike = [one for one in self.playbacks.values() if one.plan is plan and one.host and one is not pb]
         return sum(1 for one in alike if one.title == pb.title) < plan.seats
 
-    def forget(self, now: int) -> None:
-        # Danger: the edge of the window is the counter's; a beat to the safe side either way.
-        span, beat = self.terms.rules.further_span, self.terms.beat
-        while self.requests and now - self.requests[0] >= span - beat:
-            self.requests.popleft()
-        while self.further and now - self.further[0] > span + beat:
-            self.further.popleft()
-
     def may_send(self, now: int, pb: Playback, host: Host) -> bool:
         plan, row = pb.plan, host.row
         for sent_at, earlier in pb.maybe_ran if plan.repeat is not Repeat.FREELY else ():
@@ -582,8 +565,8 @@
         if rung != pb.rung:
             self.put(now, pb, rung)
         self.settle(now, pb, host)
-        if pb.tries and self.terms.rules.further_free is not None:
-            self.further.append(now)
+        if pb.tries:
+            self.budget.book(now)
         pb.tries.append(host)
         pb.sent_at, pb.risen_then = now, host.risen
         host.sent.append(now)
@@ -603,12 +586,17 @@
         allowed = (
             self.may_send(now, playback, host)
             and self.seat_free(playback)
+            and self.budget_holds(now, playback)
             and self.pace_holds(now, playback, host)
         )
         if allowed:
             self.book_write(now, playback, host)
         return allowed
 
+    def budget_holds(self, now: int, pb: Playback) -> bool:
+        """Whether a further try still has room in the window that ends now."""
+        return len(pb.tries) == 1 or self.budget.left(now, booked=pb.sent_at) >= 1
+
     def pace_holds(self, now: int, pb: Playback, host: Host) -> bool:
         """The pace's span allows for the usual wait; beyond it, or once the host has started again, the pace
         is asked again. What is on its way as a host fails serves to tell whether it is well."""
@@ -620,8 +608,10 @@
 
     def book_write(self, now: int, pb: Playback, host: Host) -> None:
         """The accounts of what was sent hold the time of the write."""
-        take_out(host.sent, pb.sent_at)
+        remove_one(host.sent, pb.sent_at)
         host.sent.append(now)
+        if len(pb.tries) > 1:
+            self.budget.move(pb.sent_at, now)
         pb.sent_at = now
 
     def stale(self, now: int, host: Host) -> bool:
--- a/tests/test_rules_at_write.py
+++ b/tests/test_rules_at_write.py
@@ -137,6 +137,44 @@
     assert sent(gateway.take(now, api.Arrived(request(3)))), "what was not sent has given its seat back"
 
 
+def limited(free: float, ratio: float) -> api.Terms:
+    rules = replace(TERMS.rules, further_free=free, further_ratio=ratio, further_span=5 * SECOND)
+    return replace(TERMS, rules=rules)
+
+
+def further(gateway: Gateway, now: int, pb: int) -> list[api.SetUp]:
+    """A request whose first try is turned away as full at once: the further tries."""
+    (first,) = sent(gateway.take(now, api.Arrived(request(pb))))
+    assert gateway.authorize(now, pb, 0)
+    return sent(gateway.take(now, api.Ended(pb, 0, first.host, Ending.FULL, 0, False, Load())))
+
+
+def test_further_tries_count_in_the_budget_from_when_they_are_written() -> None:
+    """Guards against a window that forgets what came to hosts within it (review/9)."""
+    gateway, now = ready(limited(2.0, 0.0))
+    assert further(gateway, now, 1) and further(gateway, now, 2)
+    written = now + SECOND  # so long they wait for their connections
+    assert gateway.authorize(written, 1, 1) and gateway.authorize(written, 2, 1)
+    assert not further(gateway, now + 5300 * MS, 3), "both are within the window that ends here"
+    assert further(gateway, written + 5 * SECOND + 2 * BEAT, 4)
+
+
+@pytest.mark.parametrize("stays", [False, True])
+def test_a_further_try_is_written_only_if_requests_in_the_window_still_allow_it(stays: bool) -> None:
+    """Guards against a budget of a share of the requests that are no longer in the window (review/9)."""
+    gateway, now = ready(limited(0.0, 0.5))
+    gateway.take(now, api.Arrived(request(1)))
+    now += 4800 * MS
+    (second,) = further(gateway, now, 2)
+    if stays:
+        gateway.take(now, api.Arrived(request(3)))
+    now += SECOND  # the first request leaves the window as the further try waits
+    assert gateway.authorize(now, 2, 1) is stays
+    if not stays:
+        actions = gateway.take(now, api.Unsent(2, 1, second.host))
+        assert any(isinstance(action, api.Reject) for action in actions) and not sent(actions)
+
+
 def test_what_is_refused_at_its_write_costs_no_try() -> None:
     """Guards against a request that is given up for set-ups that were never written."""
     terms = replace(keyed(), allowed=replace(TERMS.allowed, tries=1))
