A request that came in a standstill has the time that its viewer has, not all from its reading

Seen by callers: after a standstill of 1.9 s answers came 3.7 s after requests whose viewers wait 3 s. Cause: the time counted from the reading of the line. Now the earliest time counts at which it may have come: the begin of the gap, the last time that the socket was empty, or what the socket tells of its last bytes. What is over by then is refused at once and never sent on. The gap's account left viewers.py for a module of its own.

--- a/burlmast/node/program.py
+++ b/burlmast/node/program.py
@@ -169,7 +169,7 @@
     def stop(self) -> None:
         """The platform will end this process: what comes until then is answered before the earliest kill."""
         now = self.now()
-        self.driver.answer_by(now, self.listener.shutdown.begin(self.listener.waiting_since(now)))
+        self.driver.answer_by(now, self.listener.shutdown.begin(self.listener.gaps.waiting_since(now)))
         self.arm()
         self.log.say(f"told to end; {self.driver.asked} held, {self.driver.playing} playing")
 
--- a/burlmast/node/viewer_connection.py
+++ b/burlmast/node/viewer_connection.py
@@ -4,17 +4,20 @@
 
 import asyncio
 import select
+import socket
+import struct
 from collections import Counter
 from collections.abc import Callable, Container
 from typing import Protocol
 
 from burlmast.edge.playback import Playback
 from burlmast.node import lines
+from burlmast.node.arrival import TICK, Arrival, LoopGaps
 from burlmast.node.lines import Line, LineReader
 from burlmast.node.message_size import MESSAGE_BYTES_MAX
 
 MS = 1_000_000
-SWEEP = 250 * MS  # between looks at silent connections
+SWEEP = TICK  # between looks at silent connections
 # Who sends nothing sound is owed a close within 3 s of connecting, by the protocol.
 UNSOUND_FOR = 1_500 * MS
 # The same for a first line whose bytes go on coming, with one sweep to spare.
@@ -24,6 +27,9 @@
 # One for all: what is read is taken out of it before anything else is read. Its size bounds what is done
 # for one connection in a turn of the loop.
 BUFFER = bytearray(16 * 1024)
+LAST_DATA_RECEIVED = struct.Struct("=I")  # `tcpi_last_data_recv` of Linux' `struct tcp_info`, milliseconds
+LAST_DATA_RECEIVED_AT = 52  # bytes from its begin
+CLOCK_OF_KERNEL = 10 * MS  # its time stamps are as coarse as that
 ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -36,6 +42,10 @@
     def now(self) -> Callable[[], int]:
         """The one clock, in nanoseconds."""
 
+    @property
+    def gaps(self) -> LoopGaps:
+        """When the process has read nothing."""
+
     @property
     def log_line(self) -> Callable[[str], None]:
         """Writes a line for the log."""
@@ -86,6 +96,7 @@
         self.transport: asyncio.Transport | None = None
         self.open: dict[str, Playback] = {}  # what is asked on it and has no answer yet
         self.began = self.last_received = listener.now()
+        self.arrival = Arrival()  # of what was read last
         self.sound = False
         self.asked = 0  # sound set-ups on it
         self.held = 0  # requests and sessions that were asked for or handed over on it and are held
@@ -115,7 +126,11 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.last_received = self.listener.now()
+        self.arrival.read(self.last_received, self.listener.gaps, emptied=nbytes < len(BUFFER))
+        began = self.reader.partial
         found, wrong = self.reader.feed(bytes(memoryview(BUFFER)[:nbytes]))
+        if self.arrival.uncertain and len(found) == 1 and not (began or self.reader.partial):
+            self.arrival.came_at(self.last_received - self._age_of_last_bytes())
         # Whose every reading ends within a line, or who sends slowly, is at work and not stuck.
         self.partial_since = self.last_received if self.reader.partial else 0
         try:
@@ -128,6 +143,19 @@
             self.listener.counts["unreadable"] += 1
             self.close("unreadable")
 
+    def _age_of_last_bytes(self) -> int:
+        """How long ago the last bytes came, in nanoseconds, by the socket; the longest if it cannot tell."""
+        if self.transport is None or not hasattr(socket, "TCP_INFO"):
+            return self.last_received
+        try:
+            raw = self.transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.size + LAST_DATA_RECEIVED_AT
+            )
+            (age_ms,) = LAST_DATA_RECEIVED.unpack_from(raw, LAST_DATA_RECEIVED_AT)
+        except (OSError, struct.error):
+            return self.last_received
+        return int(age_ms) * MS + CLOCK_OF_KERNEL
+
     def _standing_by(self, found: list[Line]) -> list[Line]:
         """Without the set-ups that are given up by a later line of the same reading."""
         if len(found) < 2:
--- a/burlmast/node/viewers.py
+++ b/burlmast/node/viewers.py
@@ -12,6 +12,7 @@
 from burlmast.edge.playback import Attempt, Final, Playback, Wanted
 from burlmast.logic import NEVER_RAN
 from burlmast.node import lines
+from burlmast.node.arrival import LoopGaps
 from burlmast.node.configuration import Configuration
 from burlmast.node.delivery import EndDelivery
 from burlmast.node.descriptors import BATCH
@@ -76,8 +77,7 @@
         self.events = events
         self._connection_names = 0
         self.shutdown = Shutdown(configuration.abandon_times)
-        self._last_sweep = self._gap_since = now()
-        self._gap_until = 0  # when the last gap between sweeps ended; 0: there was none
+        self.gaps = LoopGaps(now())
         self.driver: Driver | None = None
         self.arm: Callable[[], None] = lambda: None  # after anything that the driver was told
         self.handed_over: Callable[[Attempt, SetupPayload], None] | None = None
@@ -169,7 +169,7 @@
             return
         self._loop.call_later(SWEEP / 1e9, self.sweep)
         now = self.now()
-        self._note_gap(now)
+        self.gaps.tick(now)
         viewers = list(self.viewers)
         for_each(
             "sweep_viewer",
@@ -192,18 +192,6 @@
                 self.counts["closed unsound"] += 1
                 viewer.close("unsound")
 
-    def waiting_since(self, now: int) -> int:
-        """Since when what is handled now may have waited: `now`, or the last sweep before a gap that just
-        ended."""
-        self._note_gap(now)
-        return self._gap_since if now - self._gap_until < SWEEP else now
-
-    def _note_gap(self, now: int) -> None:
-        """Sweeps are regular, unless the process was stopped or found no time."""
-        if now - self._last_sweep >= 2 * SWEEP:
-            self._gap_since, self._gap_until = self._last_sweep, now
-        self._last_sweep = now
-
     def close(self) -> None:
         """Answer what is held, and close every connection."""
         self._closed = True
@@ -301,11 +289,14 @@
         self._arrive(viewer, line.id, request)
 
     def _arrive(self, viewer: ViewerConnection, name: str, request: SessionRequest) -> None:
-        allowed = self.shutdown.time_allowed(self.now(), request.wanted.patience)
+        now = self.now()
+        # Its viewer waits since it wrote it, and it may have lain in the socket for as long as a standstill.
+        left = request.wanted.patience - viewer.arrival.waited(now)
+        request = request._replace(wanted=request.wanted._replace(patience=left))
+        allowed = self.shutdown.time_allowed(now, left)
         size = len(request.sent.description) + len(request.sent.title)
-        reason = self._no_room(viewer)
+        reason = self._no_room(viewer) if left > 0 else "read_too_late"
         if reason:
-            now = self.now()
             self._refuse(QueuedRequest(name, viewer, request, size, now, now), reason)
             return
         self.turns.arrive(name, viewer, request, size, allowed)
@@ -468,7 +459,7 @@
         connection, answered_at = (
             (view.viewer, view.answered_at) if isinstance(view, SessionView) else (None, 0)
         )
-        ended_at = self.waiting_since(self.now())
+        ended_at = self.gaps.waiting_since(self.now())
         self.ends.send(playback.public, message, connection, answered_at, wants_acknowledgement, ended_at)
 
     def _forget(self, playback: Playback) -> None:
