The probes of a host are a module of their own

Cause: media_host.py held connections, attempts, sessions and probes, and reported probes that end without a connection in four places. The two tests that wrote a probe on a chosen connection through a private method use HostProbes.send_on, otherwise as they were. Behaviour unchanged.

--- a/burlmast/node/host_messages.py
+++ b/burlmast/node/host_messages.py
@@ -14,6 +14,7 @@
 from burlmast.node.frames import Frame
 from burlmast.node.host_checks import HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
+from burlmast.node.host_probes import HostProbes
 
 ENDS_ESTABLISHED = frozenset((16, 31))  # causes that only an established session gets
 UNKNOWN_REMEMBERED = 10_000 * MS  # releases of sessions that may be handed over yet
@@ -26,6 +27,7 @@
     name: str
     pool: Pool
     checks: HostChecks
+    probes: HostProbes
     attempts: dict[int, HostAttempt]
     connections: dict[HostConnection, None]
 
@@ -38,9 +40,6 @@
     def reopen(self, reason: str) -> None:
         """A release may have been lost."""
 
-    def probe_answered(self, connection: HostConnection, message: Frame) -> bool:
-        """A reply has come; whether it was one to a probe of the driver."""
-
 
 class HostMessages:
     """The messages of one host."""
@@ -183,7 +182,7 @@
             )
 
     def _ponged(self, connection: HostConnection, message: Frame) -> None:
-        if not self.host.probe_answered(connection, message):
+        if not self.host.probes.answered(connection, message):
             self.host.checks.answered(message.session, connection)
         if connection.state == "leaving":
             connection.retire()
--- a/burlmast/node/media_host.py
+++ b/burlmast/node/media_host.py
@@ -16,7 +16,7 @@
 from burlmast.node.host_checks import RELEASE_REPEATED, HostChecks
 from burlmast.node.host_connection import HostAttempt, HostConnection, Pool
 from burlmast.node.host_messages import HostMessages
-from burlmast.node.host_records import SentProbe
+from burlmast.node.host_probes import HostProbes
 
 MS = 1_000_000
 KEPT_FOR_HUNG_HOST = 4  # connections, any of which it may take for its next release
@@ -34,7 +34,6 @@
         self.connections: dict[HostConnection, None] = {}
         self.attempts: dict[int, HostAttempt] = {}
         self.waiting: list[HostAttempt] = []  # for a connection
-        self.probes: list[tuple[int, int]] = []  # probes that wait for one, and since when
         self.backlog: list[tuple[bytes, int]] = []  # messages on established sessions that wait for one
         self.connecting: dict[HostConnection, None] = {}  # connections that are waited for
         self.late: dict[HostConnection, None] = {}  # those that may come up yet, for what the host repeats
@@ -43,6 +42,7 @@
         self.lease = HostLease(pool.limits.idle)
         self.checks = HostChecks(self)
         self.messages = HostMessages(self)
+        self.probes = HostProbes(self)
 
     # Connections.
 
@@ -95,7 +95,7 @@
 
     def dial_no_more(self) -> None:
         """Give up the dials that nothing waits for any more: connections at hosts are scarce."""
-        needed = len(self.waiting) + bool(self.probes or self.backlog or self.has_sessions())
+        needed = len(self.waiting) + bool(self.probes.waiting or self.backlog or self.has_sessions())
         for connection in list(self.connecting)[needed:]:
             connection.wait_on() if self.has_sessions() else connection.drop()
 
@@ -108,9 +108,7 @@
         for message, repeat_within in self.backlog:
             connection.send_on_session(message, repeat_within)
         self.backlog.clear()
-        probes, self.probes = self.probes, []
-        for session, began in probes:
-            self._probe_on(connection, session, began)
+        self.probes.connected(connection)
         for leaving in [other for other in self.connections if other.state == "leaving"]:
             leaving.retire()
         # One set-up to a connection; those that came in the meantime have others of their own on the way.
@@ -137,9 +135,7 @@
         """No connection could be tried: that tells nothing of the host. It is tried again soon."""
         self.pool.callbacks.log_line(f"host {self.name}: no descriptor for a connection")
         self.pool.callbacks.shortage()
-        probes, self.probes = self.probes, []
-        for _, began in probes:
-            self.pool.callbacks.probed(self.number, Ending.MOOT, max(0, self.pool.now() - began), api.Load())
+        self.probes.end_waiting(Ending.MOOT)
         if not self.connecting:
             self.pool.later(self.pool.limits.connect // 8, self.dial_again)
 
@@ -160,10 +156,7 @@
         self.return_unwritten()
         if self.in_service:
             return
-        probes, self.probes = self.probes, []
-        for _, began in probes:
-            took = max(0, self.pool.now() - began)
-            self.pool.callbacks.probed(self.number, Ending.NO_CONNECTION, took, api.Load())
+        self.probes.end_waiting(Ending.NO_CONNECTION)
         for attempt in [each for each in self.attempts.values() if not each.established]:
             if attempt.connection is not None:
                 attempt.connection.write(frames.release(attempt.session))
@@ -236,11 +229,7 @@
         for attempt in waiting:
             self.finish(attempt, BINARY_ENDINGS["no connection", None], api.Load())
         if not self.connecting and not self.open_connections():
-            probes, self.probes = self.probes, []
-            for _, began in probes:
-                self.pool.callbacks.probed(
-                    self.number, Ending.NO_CONNECTION, max(0, self.pool.now() - began), api.Load()
-                )
+            self.probes.end_waiting(Ending.NO_CONNECTION)
         silent = liveness.is_gone(self.pool.now(), self.last_received, self.failures)
         lost = not self.open_connections() and self.failures >= liveness.CHECKS_FAILED
         # A host that drains refuses connections and plays on, and the list may say so late: a refusal shows
@@ -272,11 +261,7 @@
             if attempt.written:
                 self._release_unwanted(attempt)
             self.finish(attempt, ending if attempt.written else BINARY_ENDINGS["not sent", None], api.Load())
-        probes, connection.probes = connection.probes, {}
-        for probe in probes.values():
-            probe.timer.cancel()
-            took = max(0, self.pool.now() - probe.began)
-            self.pool.callbacks.probed(self.number, Ending.BROKEN, took, api.Load())
+        self.probes.lost(connection)
         lately, connection.sent_lately = connection.sent_lately, deque()
         for sent in lately if why == "connection lost" else ():
             if self.pool.now() < sent.repeat_until and sent.gives_up not in self.attempts:
@@ -499,45 +484,9 @@
         self.failures = 0
         self.messages.received(connection, message)
 
-    # Probes.
-
     def probe(self, session: int) -> None:
-        connections = self.open_connections()
-        if connections:
-            chosen = min(connections, key=lambda each: (len(each.out), each.received_at))
-            self._probe_on(chosen, session, self.pool.now())
-        elif self.pool.room() or self.connecting:
-            self.probes.append((session, self.pool.now()))
-            if not self.connecting:
-                self.dial()
-        else:
-            self.pool.later(0, lambda: self.pool.callbacks.probed(self.number, Ending.MOOT, 0, api.Load()))
-
-    def _probe_on(self, connection: HostConnection, session: int, began: int) -> None:
-        left = self.pool.limits.connect - (self.pool.now() - began)
-        timer = self.pool.later(max(0, left), lambda: self._probe_late(connection, session))
-        connection.probes[session] = SentProbe(began, timer)
-        connection.write(frames.frame(frames.PING, session, {frames.CAUSE: b"\x01"}))
-
-    def probe_answered(self, connection: HostConnection, message: Frame) -> bool:
-        """A reply has come; whether it was one to a probe of the driver."""
-        probe = connection.probes.pop(message.session, None)
-        if probe is None:
-            return False
-        probe.timer.cancel()
-        connection.replied(probe.began)
-        ending = Ending.SERVED if message.cause == 1 else Ending.ERROR
-        load = message.load(self.pool.limits.report)
-        self.pool.callbacks.probed(self.number, ending, max(0, self.pool.now() - probe.began), load)
-        return True
-
-    def _probe_late(self, connection: HostConnection, session: int) -> None:
-        probe = connection.probes.pop(session, None)
-        if probe is not None:
-            connection.retire()
-            self.suspect(connection)
-            took = max(0, self.pool.now() - probe.began)
-            self.pool.callbacks.probed(self.number, Ending.TIMEOUT, took, api.Load())
+        """Probe it under this id."""
+        self.probes.send(session)
 
     def watch(self, now: int) -> None:
         """Called now and then: what is stuck or silent is seen here."""
--- a/tests/test_node_crossings.py
+++ b/tests/test_node_crossings.py
@@ -439,7 +439,7 @@
         (taken_late,) = at.connections
         at.dial()
         await until(lambda: len(at.connections) == 2)
-        at._probe_on(taken_late, 7, one.program.now())
+        at.probes.send_on(taken_late, 7, one.program.now())
         await until(lambda: taken_late.state != "open")
         await asyncio.sleep(2 * connect)
         host.awake.set()
@@ -456,13 +456,13 @@
         at.dial()
         await until(lambda: len(at.connections) == len(host.links) == 2)
         (second,) = [each for each in at.connections if each is not origin]
-        at._probe_on(second, 7, one.program.now())
+        at.probes.send_on(second, 7, one.program.now())
         await until(lambda: not second.probes)
         host.carried[0][1].transport.abort()  # its session's own connection
         await until(lambda: origin.state == "closed" and len(at.connections) == 2)
         hung = host.links[0]
         hung.transport.pause_reading()
-        at._probe_on(second, 8, one.program.now())
+        at.probes.send_on(second, 8, one.program.now())
         await until(lambda: second.state != "open")
         await asyncio.sleep(2 * connect)
         began = time.monotonic()
