Decisions that fail at a write answer what is held; what ends while it waits is never written

Cause: an exception of Gateway.authorize would have left its request without an answer, in a callback of a connection. It is a fall of the decisions now, as any other; and what was never written is rejected there, where asking again is harmless, no longer aborted.

--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -283,7 +283,14 @@
         if one.state is not AttemptState.DECIDED or playback.state != "asked" or self.failed:
             return False
         policy = self.policy
-        if isinstance(policy, JudgesWrites) and not policy.authorize(now, playback.number, one.place):
+        try:
+            allowed = not isinstance(policy, JudgesWrites) or policy.authorize(
+                now, playback.number, one.place
+            )
+        except Exception as why:
+            self._fail(now, one, why)
+            return False
+        if not allowed:
             self.counts["writes refused"] += 1
             return False
         self.mark_written(now, one)
@@ -355,12 +362,12 @@
         for action in actions:
             ACTIONS[type(action)](self, self._now, action)
 
-    def _fail(self, now: int, event: api.Event, why: Exception) -> None:
+    def _fail(self, now: int, event: object, why: Exception) -> None:
         self.failed = True
         for playback in list(self.held.values()):
             if playback.state == "asked":
                 # Only where no try can have run is asking again known to be harmless.
-                sure = all(one.ending in NEVER_RAN for one in playback.tries)
+                sure = all(one.ending in NEVER_RAN or not one.written for one in playback.tries)
                 self._answer(now, playback, Final("rejected" if sure else "aborted"))
                 playback.state = "refused"
             for one in playback.out:
--- a/tests/test_node_late_connections.py
+++ b/tests/test_node_late_connections.py
@@ -178,6 +178,82 @@
     run(work, tmp_path, 2, settings={**PATIENT, "rules": rules})
 
 
+# A request that ends while its connection is awaited.
+
+
+@pytest.mark.parametrize("how", ["given up", "closed", "a second set-up of its id"])
+def test_nothing_is_written_for_a_request_that_has_ended_as_its_connection_comes_up(
+    tmp_path: Path, how: str
+) -> None:
+    """Guards against a set-up for nobody, which would stand at its host until it ends by itself."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        await waiting_at(one, line, gates)
+        if how == "given up":
+            line.say("release", cause=16)
+        elif how == "closed":
+            line.writer.close()
+        else:
+            line.set_up()
+            assert (await line.hear())["type"] == "release"
+        await until(lambda: ID not in one.program.listener.known)
+        for gate in gates:
+            gate.open.set()
+        last = await one.line()
+        last.set_up("00000000000000aa")  # the one seat of its title is free again
+        assert (await last.hear())["type"] == "answer"
+        assert not set_ups(one) and not one.program.driver.counts["unsent"]
+
+    family = {**SETTINGS["familyInfo"], "classSeats": [1]}
+    run(work, tmp_path, 2, settings={**PATIENT, "familyInfo": family})
+
+
+def test_what_waits_at_sigterm_is_answered_before_the_kill_and_not_written_after_its_answer(
+    tmp_path: Path,
+) -> None:
+    """Guards against a set-up that goes out when its request has been answered for the coming end."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        await waiting_at(one, line, gates)
+        one.program.driver.answer_by(one.program.now(), one.program.now() + 300_000_000)
+        one.program.arm()
+        (attempt,) = one.program.listener.known[ID].tries
+        assert attempt.due <= one.program.now() + 300_000_000, "its host would be told of no more"
+        assert (await line.hear())["type"] == "release"
+        for gate in gates:
+            gate.open.set()
+        last = await one.line()
+        last.set_up("00000000000000aa")
+        assert (await last.hear())["type"] == "answer"
+        assert not set_ups(one)
+
+    run(work, tmp_path, 2, settings=PATIENT)
+
+
+def test_decisions_that_fail_at_a_write_answer_what_is_held_and_others_serve(tmp_path: Path) -> None:
+    """Guards against a request that is left without an answer by a defect in the judging of its write."""
+
+    async def work(one: Platform) -> None:
+        line, gates = await one.line(), gated(one)
+        await waiting_at(one, line, gates)
+
+        def fall(*_: Any) -> bool:
+            raise RuntimeError("a defect")
+
+        one.program.driver.policy.authorize = fall  # type: ignore[attr-defined]
+        for gate in gates:
+            gate.open.set()
+        told = await line.hear()
+        assert (told["type"], told["cause"]) == ("release", 34), "nothing of it was written"
+        line.set_up("00000000000000aa")
+        assert (await line.hear())["type"] == "answer"
+        assert not set_ups(one)
+
+    run(work, tmp_path, 2, settings={**PATIENT, "requestClasses": SETTINGS["requestClasses"]})
+
+
 # Time limits that pass while a connection is awaited.
 
 
