burlmast edge, too, asks before a set-up is written whether it still may be

A call takes before_write, asked once a connection is there; what is withheld leaves the connection for the next call and goes back to the decisions as unsent. Decisions that take over with new settings count places from their first attempt; what earlier ones sent stands. Found by reading, not played on a running edge; run of the deploy file does not start it.

--- a/burlmast/edge/changing.py
+++ b/burlmast/edge/changing.py
@@ -12,7 +12,7 @@
 
 from burlmast import api
 from burlmast.api import Ending
-from burlmast.edge.driver import ACTIONS, Alarm, Driver, Policy
+from burlmast.edge.driver import ACTIONS, Alarm, Driver, JudgesWrites, Policy
 from burlmast.edge.playback import Attempt, AttemptState, Playback, Shown, Wanted
 
 
@@ -123,6 +123,14 @@
             former.owes -= 1
         super()._step(now, playback, happening, thing)
 
+    def _authorize(self, now: int, one: Attempt) -> bool:
+        """What earlier decisions have sent stands: those that follow count it as established."""
+        playback, policy = one.playback, self.policy
+        assert isinstance(playback, PassedOn)
+        if playback.former is not None or not isinstance(policy, JudgesWrites):
+            return True
+        return policy.authorize(now, playback.number, one.place - playback.base)
+
     def ended(self, now: int, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
         # What is over is held no more by the time that the decisions hear of it.
@@ -137,7 +145,7 @@
             if mind is self._mind or mind.owes:
                 self._post(now, mind, api.Bell(token))
             return
-        if isinstance(event, api.Ended | api.Note | api.Flowing):
+        if isinstance(event, api.Ended | api.Note | api.Flowing | api.Unsent):
             playback = self.held.get(event.pb)
             if self._ending is not None and self._ending.number == event.pb:
                 playback = self._ending
--- a/burlmast/edge/driver.py
+++ b/burlmast/edge/driver.py
@@ -282,11 +282,8 @@
         playback = one.playback
         if one.state is not AttemptState.DECIDED or playback.state != "asked" or self.failed:
             return False
-        policy = self.policy
         try:
-            allowed = not isinstance(policy, JudgesWrites) or policy.authorize(
-                now, playback.number, one.place
-            )
+            allowed = self._authorize(now, one)
         except Exception as why:
             self._fail(now, one, why)
             return False
@@ -296,6 +293,10 @@
         self.mark_written(now, one)
         return True
 
+    def _authorize(self, now: int, one: Attempt) -> bool:
+        policy = self.policy
+        return not isinstance(policy, JudgesWrites) or policy.authorize(now, one.playback.number, one.place)
+
     def unsent(self, now: int, one: Attempt) -> None:
         """Nothing of an attempt has been written, and nothing may be: it counts as never decided."""
         playback = one.playback
--- a/burlmast/edge/hosts.py
+++ b/burlmast/edge/hosts.py
@@ -31,6 +31,12 @@
     def ended(self, one: Attempt, ending: Ending, load: api.Load) -> None:
         """See `Driver.ended`."""
 
+    def may_write(self, one: Attempt) -> bool:
+        """See `Driver.may_write`."""
+
+    def unsent(self, one: Attempt) -> None:
+        """See `Driver.unsent`."""
+
     def noted(self, one: Attempt, news: News, value: float) -> None:
         """See `Driver.noted`."""
 
@@ -103,6 +109,11 @@
 
     def failed(self, failure: Failure, why: str) -> None:
         self.call = None
+        if failure is Failure.WITHHELD and not self.closed:
+            self.closed = True
+            self._one.handle = None
+            self._ear.unsent(self._one)
+            return
         unreached = failure is Failure.NO_CONNECTION
         self._finish(ENDINGS["no connection", True] if unreached else ENDINGS["broken", False])
 
@@ -192,7 +203,13 @@
         hearing = AttemptCall(self._ear, one)
         one.handle = hearing
         hearing.call = self._pool.call(
-            self._address(one.host), b"POST", b"/v1/streams", hearing, JSON, ENCODER.encode(words)
+            self._address(one.host),
+            b"POST",
+            b"/v1/streams",
+            hearing,
+            JSON,
+            ENCODER.encode(words),
+            before_write=lambda: self._ear.may_write(one),
         )
 
     def close_attempt(self, one: Attempt) -> None:
--- a/burlmast/edge/program.py
+++ b/burlmast/edge/program.py
@@ -301,7 +301,6 @@
     def open_attempt(self, one: Attempt) -> None:
         # Danger: it may have been held since before a stop of this process, or of its lease.
         if self.together.may_take():
-            self.driver.mark_written(self.now(), one)
             self.hosts.open_attempt(one)
         else:
             self.driver.ended(self.now(), one, api.Ending.MOOT, api.Load())
--- a/burlmast/http1/client.py
+++ b/burlmast/http1/client.py
@@ -18,6 +18,7 @@
     """Why a call came to nothing, by what it proves."""
 
     NO_CONNECTION = "no connection"  # no byte of the request left this machine
+    WITHHELD = "withheld"  # the caller's `before_write` did not allow it: no byte left this machine
     BROKEN = "broken"  # the request may have been read and acted on
 
 
@@ -46,6 +47,7 @@
         "_task",
         "_unsent",
         "address",
+        "before_write",
         "listener",
         "over",
         "request",
@@ -57,6 +59,7 @@
     ) -> None:
         self._pool, self.address, self.request, self.listener = pool, address, request, listener
         self.streams = streams
+        self.before_write: Callable[[], bool] | None = None
         self.over = False
         self._connection: ClientConnection | None = None
         self._task: asyncio.Task[None] | None = None
@@ -244,8 +247,10 @@
         listener: Listener,
         headers: Headers = (),
         body: bytes | None = b"",
+        before_write: Callable[[], bool] | None = None,
     ) -> Call:
-        """Send a request. A `body` of None is sent in chunks with `Call.write` and `Call.finish`."""
+        """Send a request. A `body` of None is sent in chunks with `Call.write` and `Call.finish`;
+        `before_write` is asked once a connection is there whether it may still be sent."""
         if body is None:
             framing = b"transfer-encoding: chunked\r\n"
         elif body or method in (b"POST", b"PUT"):
@@ -256,11 +261,12 @@
         request = b"%b %b HTTP/1.1\r\nhost: %b:%d\r\n" % place
         request += encode_headers(headers) + framing + b"\r\n" + (body or b"")
         call = Call(self, address, request, listener, body is None)
+        call.before_write = before_write
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
             if connection.transport is not None and not connection.transport.is_closing():
-                connection.carry(call)
+                self._carry(connection, call)
                 return call
         call._task = self._loop.create_task(self._connect(call))
         self._tasks.add(call._task)
@@ -283,7 +289,16 @@
         if call.over:
             connection.abort()
         else:
+            self._carry(connection, call)
+
+    def _carry(self, connection: ClientConnection, call: Call) -> None:
+        if call.before_write is None or call.before_write():
             connection.carry(call)
+            return
+        self.keep(connection, call.address)
+        if not call.over:
+            call.over = True
+            call.listener.failed(Failure.WITHHELD, "no longer allowed")
 
     def keep(self, connection: ClientConnection, address: Address) -> None:
         """Keep a connection whose call is over."""
--- a/burlmast/standin/hollow.py
+++ b/burlmast/standin/hollow.py
@@ -163,12 +163,14 @@
         listener: Listener,
         headers: Headers = (),
         body: bytes | None = b"",
+        before_write: Callable[[], bool] | None = None,
     ) -> Call:
         kind = kind_of(target)
         self.counts.sends(address, kind)
         if self._reach is not None and self._reach.cut(self._region, address):
             return Call(self, address, b"", listener, False)  # nothing is ever heard of it
-        return super().call(address, method, target, CountedCall(self.counts, kind, listener), headers, body)
+        counted = CountedCall(self.counts, kind, listener)
+        return super().call(address, method, target, counted, headers, body, before_write)
 
 
 class CountedServed(Connection):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -435,6 +435,36 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("idle", [False, True])
+def test_a_call_that_may_not_be_written_any_more_leaves_its_connection_for_the_next(idle: bool) -> None:
+    """Guards against a request that goes out long after it was decided, unasked (review/7)."""
+
+    async def run() -> None:
+        asked: list[bytes] = []
+
+        def application(exchange: Exchange) -> None:
+            asked.append(exchange.target)
+            echo(exchange)
+
+        server, pool, address = await serving(application)
+        if idle:
+            before = Heard()
+            pool.call(address, b"GET", b"/before", before)
+            await until(lambda: before.end)
+        withheld, after = Heard(), Heard()
+        pool.call(address, b"GET", b"/withheld", withheld, before_write=lambda: False)
+        await until(lambda: withheld.end)
+        assert withheld.end == "withheld"
+        pool.call(address, b"GET", b"/after", after, before_write=lambda: True)
+        await until(lambda: after.end)
+        assert after.end == "whole" and asked == [b"/before", b"/after"][not idle :]
+        assert len(server.connections) == 1
+        server.close()
+        pool.close()
+
+    asyncio.run(run())
+
+
 def test_a_peer_that_accepts_nothing_is_no_connection_in_time() -> None:
     async def run() -> None:
         deaf = socket.socket()
--- a/tests/test_rules_at_write.py
+++ b/tests/test_rules_at_write.py
@@ -7,7 +7,7 @@
 
 import pytest
 from helpers import BEAT, MS, SECOND, TERMS, Model, Try, row
-from test_edge_core import ROWS, START, WANTED, Driver, driving
+from test_edge_core import ROWS, START, WANTED, ChangingDriver, Driver, Script, driving
 from test_rules import drawn
 
 from burlmast import api
@@ -214,3 +214,39 @@
     driver.ring(START + 2 * SECOND)
     assert [event.ending for event in script.of(api.Ended)] == [Ending.NO_CONNECTION]
     assert not driver.may_write(START + 2 * SECOND, outside.opened[0])
+
+
+class Judge(Script):
+    """A script that is asked at each write."""
+
+    def __init__(self, allows: bool) -> None:
+        super().__init__()
+        self.allows, self.judged = allows, list[tuple[int, int]]()
+
+    def authorize(self, now: int, pb: int, attempt: int) -> bool:
+        self.judged.append((pb, attempt))
+        return self.allows
+
+
+def test_decisions_that_took_over_judge_their_own_attempts_and_count_them_from_their_first() -> None:
+    """Guards against a place that the decisions do not know, after settings have changed."""
+    first, second = Judge(True), Judge(False)
+    driver, outside, _ = driving(script=first, kind=ChangingDriver)
+    outside.writes = False
+    first.answers[api.Arrived] = lambda event: [api.SetUp(event.request.pb, 1, 0)]
+    playback = driver.arrive(START, WANTED, "reply")
+    other = driver.arrive(START, WANTED, "reply")
+    driver.change_policy(START, lambda now: second, 3, lambda row: 7)
+    assert driver.may_write(START, outside.opened[0]), "what was sent by the decisions before stands"
+    driver.flowing(START, outside.opened[0])
+    assert not first.judged and not second.judged and other.state == "asked"
+    second.answers[api.Bell] = lambda event: [api.Move(playback.number)]
+    second.answers[api.Arrived] = lambda event: [api.SetUp(event.request.pb, 2, 0)]
+    driver._carry_out([api.SetAlarm(0, 1)])
+    driver.ring(START + MS)
+    moved = outside.opened[-1]
+    assert not driver.may_write(START + MS, moved)
+    second.answers[api.Unsent] = lambda event: [api.Reject(event.pb, 0)]
+    driver.unsent(START + MS, moved)
+    assert second.judged == [(moved.playback.number, 0)]
+    assert second.of(api.Unsent) == [api.Unsent(moved.playback.number, 0, 2)]
