A reading that fills the buffer no longer makes what comes later on its connection old

Seen by callers, by reading the change again: a request that came long after one of exactly 16 KiB on the same connection could be refused as read too late, and so could all of a connection that always sends more than the buffer holds. Cause: kept the arrival of a full reading for the next one, whenever that came. Now only readings within the quarter of a second after a gap are taken for old, until the socket was read empty.

--- a/burlmast/node/arrival.py
+++ b/burlmast/node/arrival.py
@@ -38,22 +38,17 @@
 class Arrival:
     """The earliest time at which what was read last on one connection may have come."""
 
-    __slots__ = ("_emptied", "_emptied_at", "_read_at", "earliest")
+    __slots__ = ("_emptied_at", "_read_at", "earliest")
 
     def __init__(self) -> None:
-        self._emptied = True
         self._emptied_at = 0  # when the socket was last read empty; 0: never
         self.earliest = self._read_at = 0
 
     def read(self, now: int, gaps: LoopGaps, emptied: bool) -> None:
         """Something has been read; `emptied`: nothing is left in the socket."""
-        if not self._emptied:
-            pass  # the rest of what lay in the socket then
-        elif gaps.just_ended(now) and self._emptied_at < gaps.until:
-            self.earliest = max(self._emptied_at, gaps.since)
-        else:
-            self.earliest = now
-        self._emptied, self._read_at = emptied, now
+        after_gap = gaps.just_ended(now) and self._emptied_at < gaps.until
+        self.earliest = max(self._emptied_at, gaps.since) if after_gap else now
+        self._read_at = now
         if emptied:
             self._emptied_at = now
 
